--- /dev/null
+++ b/internal/crankfold/burn.go
@@ -0,0 +1,59 @@
+package crankfold
+
+import (
+	"time"
+
+	crank "cranberrycrank"
+)
+
+// BurnBucket counts the ended jobs of one minute.
+type BurnBucket struct {
+	Minute int64 `json:"minute"` // since the Unix epoch
+	Total  int   `json:"total"`
+	Missed int   `json:"missed"` // not done within the profile's latency
+}
+
+// BurnSeries is the count of one profile in one workspace.
+type BurnSeries struct {
+	Profile   string       `json:"profile"`
+	Workspace string       `json:"workspace"`
+	Buckets   []BurnBucket `json:"buckets"`
+}
+
+// noteBurn counts an ended job. A job that its caller cancelled does not count.
+func (s State) noteBurn(j Job) State {
+	if j.Cancelled || j.Rules.Latency == 0 {
+		return s
+	}
+	minute := s.Horizon.Unix() / 60
+	key := identity(j.Profile, j.Workspace)
+	old, _ := s.burn.Get(key)
+	oldest := minute - int64(crank.BurnRetention/time.Minute)
+	buckets := make([]BurnBucket, 0, len(old)+1)
+	for _, b := range old {
+		if b.Minute >= oldest {
+			buckets = append(buckets, b)
+		}
+	}
+	if len(buckets) == 0 || buckets[len(buckets)-1].Minute != minute {
+		buckets = append(buckets, BurnBucket{Minute: minute})
+	}
+	last := &buckets[len(buckets)-1]
+	last.Total++
+	if j.Result != ResultSucceeded || j.EndedAt.Sub(j.SubmittedAt) > j.Rules.Latency {
+		last.Missed++
+	}
+	s.burn = s.burn.Set(key, buckets)
+	return s
+}
+
+// Burn returns the counts of every profile and workspace.
+func (s State) Burn() []BurnSeries {
+	series := make([]BurnSeries, 0, s.burn.Len())
+	for i := s.burn.Iterator(); !i.Done(); {
+		key, buckets, _ := i.Next()
+		profile, workspace := splitIdentity(key)
+		series = append(series, BurnSeries{Profile: profile, Workspace: workspace, Buckets: buckets})
+	}
+	return series
+}
--- /dev/null
+++ b/internal/crankpeer/client.go
@@ -0,0 +1,121 @@
+package crankpeer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankpeer/crankpeerpb"
+
+	"github.com/twitchtv/twirp"
+)
+
+// Dialer returns peers by address and keeps one client for each.
+type Dialer struct {
+	key   string
+	mu    sync.Mutex
+	peers map[string]*Client
+}
+
+// NewDialer returns a dialer that authenticates with a key.
+func NewDialer(key string) *Dialer {
+	return &Dialer{key: key, peers: make(map[string]*Client)}
+}
+
+// Peer implements crank.PeerDialer.
+func (d *Dialer) Peer(addr string) crank.Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	c, ok := d.peers[addr]
+	if !ok {
+		transport := &keyTransport{key: d.key, next: &http.Transport{MaxIdleConnsPerHost: 4}}
+		client := &http.Client{Transport: transport}
+		c = &Client{rpc: crankpeerpb.NewPeerProtobufClient("http://"+addr, client), http: client}
+		d.peers[addr] = c
+	}
+	return c
+}
+
+// keyTransport adds the peer key to every call.
+type keyTransport struct {
+	key  string
+	next *http.Transport
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	r = r.Clone(r.Context())
+	r.Header.Set("Authorization", "Bearer "+t.key)
+	return t.next.RoundTrip(r)
+}
+
+// CloseIdleConnections lets http.Client close connections that went silent.
+func (t *keyTransport) CloseIdleConnections() { t.next.CloseIdleConnections() }
+
+// Client calls one peer.
+type Client struct {
+	rpc  crankpeerpb.Peer
+	http *http.Client
+}
+
+// Status implements crank.Peer.
+func (c *Client) Status(ctx context.Context) (crank.PeerStatus, error) {
+	r, err := c.rpc.Status(ctx, &crankpeerpb.StatusRequest{})
+	if err != nil {
+		return crank.PeerStatus{}, c.failed("peer status", err)
+	}
+	return crank.PeerStatus{
+		Instance:      r.Instance,
+		Next:          crank.Offset(r.Next),
+		ConfigVersion: int(r.ConfigVersion),
+		Ready:         r.Ready,
+		Draining:      r.Draining,
+	}, nil
+}
+
+// Read implements crank.Log.
+func (c *Client) Read(ctx context.Context, stream crank.Stream, from crank.Offset, limit int, wait time.Duration) (crank.Batch, error) {
+	r, err := c.rpc.ReadLog(ctx, &crankpeerpb.ReadLogRequest{
+		Stream: string(stream),
+		From:   int64(from),
+		Limit:  int32(limit),
+		WaitMs: wait.Milliseconds(),
+	})
+	if err != nil {
+		failure := c.failed("peer read", err)
+		failure.Kind = crank.KindUnavailable
+		return crank.Batch{}, failure
+	}
+	batch := crank.Batch{First: crank.Offset(r.First), End: crank.Offset(r.End)}
+	if r.Expired {
+		return batch, crank.Fail("peer read", crank.KindExpired, "offset %d is no longer kept", from)
+	}
+	for _, e := range r.Entries {
+		batch.Entries = append(batch.Entries, crank.Entry{Offset: crank.Offset(e.Offset), Data: e.Data})
+	}
+	return batch, nil
+}
+
+// Append implements crank.Log.
+func (c *Client) Append(ctx context.Context, stream crank.Stream, data []byte) (crank.Offset, error) {
+	r, err := c.rpc.AppendLog(ctx, &crankpeerpb.AppendLogRequest{Stream: string(stream), Data: data})
+	if err != nil {
+		return 0, c.failed("peer append", err)
+	}
+	return crank.Offset(r.Offset), nil
+}
+
+func (c *Client) failed(op string, err error) *crank.Error {
+	var t twirp.Error
+	kind := crank.KindUnknown
+	if errors.As(err, &t) && t.Code() == twirp.Unavailable {
+		kind = crank.KindUnavailable
+	}
+	if kind == crank.KindUnknown {
+		c.http.CloseIdleConnections()
+	}
+	return &crank.Error{Op: op, Kind: kind, Cause: err}
+}
--- /dev/null
+++ b/internal/crankpeer/server.go
@@ -0,0 +1,86 @@
+// Package crankpeer carries the calls between entry instances over twirp.
+package crankpeer
+
+import (
+	"context"
+	"crypto/subtle"
+	"net/http"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankpeer/crankpeerpb"
+
+	"github.com/twitchtv/twirp"
+)
+
+// ServerConfig sets up the serving side.
+type ServerConfig struct {
+	Log    crank.Log               // the platform's log, not a relay
+	Status func() crank.PeerStatus // of this instance
+	Key    string                  // shared by all instances
+}
+
+// PathPrefix is the path below which the handler serves.
+const PathPrefix = crankpeerpb.PeerPathPrefix
+
+// NewHandler returns the HTTP handler of the peer service.
+func NewHandler(c ServerConfig) http.Handler {
+	handler := crankpeerpb.NewPeerServer(&server{c})
+	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		want := "Bearer " + c.Key
+		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
+			_ = twirp.WriteError(rw, twirp.Unauthenticated.Error("the peer key is wrong"))
+			return
+		}
+		handler.ServeHTTP(rw, r)
+	})
+}
+
+type server struct{ ServerConfig }
+
+// Status implements crankpeerpb.Peer.
+func (s *server) Status(context.Context, *crankpeerpb.StatusRequest) (*crankpeerpb.StatusReply, error) {
+	st := s.ServerConfig.Status()
+	return &crankpeerpb.StatusReply{
+		Instance:      st.Instance,
+		Next:          int64(st.Next),
+		ConfigVersion: int64(st.ConfigVersion),
+		Ready:         st.Ready,
+		Draining:      st.Draining,
+	}, nil
+}
+
+// ReadLog implements crankpeerpb.Peer.
+func (s *server) ReadLog(ctx context.Context, r *crankpeerpb.ReadLogRequest) (*crankpeerpb.ReadLogReply, error) {
+	wait := min(time.Duration(r.WaitMs)*time.Millisecond, crank.LogReadWait)
+	batch, err := s.Log.Read(ctx, crank.Stream(r.Stream), crank.Offset(r.From), int(r.Limit), wait)
+	reply := &crankpeerpb.ReadLogReply{First: int64(batch.First), End: int64(batch.End)}
+	if err != nil && crank.KindOf(err) == crank.KindExpired {
+		reply.Expired = true
+		return reply, nil
+	}
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	for _, e := range batch.Entries {
+		reply.Entries = append(reply.Entries, &crankpeerpb.Entry{Offset: int64(e.Offset), Data: e.Data})
+	}
+	return reply, nil
+}
+
+// AppendLog implements crankpeerpb.Peer.
+func (s *server) AppendLog(ctx context.Context, r *crankpeerpb.AppendLogRequest) (*crankpeerpb.AppendLogReply, error) {
+	offset, err := s.Log.Append(ctx, crank.Stream(r.Stream), r.Data)
+	if err != nil {
+		return nil, toTwirp(err)
+	}
+	return &crankpeerpb.AppendLogReply{Offset: int64(offset)}, nil
+}
+
+// toTwirp keeps the one kind that the other side acts on: certainly not done.
+func toTwirp(err error) error {
+	if crank.KindOf(err) == crank.KindUnavailable {
+		return twirp.Unavailable.Error(err.Error())
+	}
+	return twirp.DeadlineExceeded.Error(err.Error())
+}
--- /dev/null
+++ b/internal/crankplatform/worker.go
@@ -0,0 +1,83 @@
+package crankplatform
+
+import (
+	"context"
+	"net/http"
+	"sync"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankwire"
+)
+
+// Dialer returns workers by address and keeps one client for each.
+type Dialer struct {
+	mu      sync.Mutex
+	workers map[string]*Worker
+}
+
+// NewDialer returns a dialer without clients.
+func NewDialer() *Dialer { return &Dialer{workers: make(map[string]*Worker)} }
+
+// Worker implements crank.WorkerDialer.
+func (d *Dialer) Worker(addr string) crank.Worker {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	w, ok := d.workers[addr]
+	if !ok {
+		w = &Worker{client: crankwire.NewClient(crankwire.ClientConfig{Addr: addr})}
+		d.workers[addr] = w
+	}
+	return w
+}
+
+// Worker is the client of one worker.
+type Worker struct {
+	client *crankwire.Client
+}
+
+func (w *Worker) post(ctx context.Context, op, path string, in, out any) error {
+	return w.client.Call(ctx, op, http.MethodPost, path, in, out)
+}
+
+// Reserve implements crank.Worker.
+func (w *Worker) Reserve(ctx context.Context, r crank.Reservation) error {
+	return w.post(ctx, "worker reserve", "/parts/reserve", r, nil)
+}
+
+// Start implements crank.Worker.
+func (w *Worker) Start(ctx context.Context, s crank.Start) error {
+	return w.post(ctx, "worker start", "/parts/start", s, nil)
+}
+
+// Fence implements crank.Worker.
+func (w *Worker) Fence(ctx context.Context, c crank.Command) (crank.PartStatus, error) {
+	var status crank.PartStatus
+	err := w.post(ctx, "worker fence", "/parts/fence", c, &status)
+	return status, err
+}
+
+// Stop implements crank.Worker.
+func (w *Worker) Stop(ctx context.Context, c crank.Command) (crank.PartStatus, error) {
+	var status crank.PartStatus
+	err := w.post(ctx, "worker stop", "/parts/stop", c, &status)
+	return status, err
+}
+
+// Renew implements crank.Worker.
+func (w *Worker) Renew(ctx context.Context, r crank.Renewal) (crank.Report, error) {
+	var report crank.Report
+	err := w.post(ctx, "worker renew", "/renew", r, &report)
+	return report, err
+}
+
+// Answer implements crank.Worker.
+func (w *Worker) Answer(ctx context.Context, a crank.AttemptID) ([]byte, error) {
+	var answer []byte
+	err := w.post(ctx, "worker answer", "/answer", a, &answer)
+	return answer, err
+}
+
+// Forget implements crank.Worker.
+func (w *Worker) Forget(ctx context.Context, attempts []crank.AttemptID) error {
+	return w.post(ctx, "worker forget", "/forget", attempts, nil)
+}
--- /dev/null
+++ b/internal/crankterm/round.go
@@ -0,0 +1,147 @@
+package crankterm
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankfold"
+	"cranberrycrank/internal/crankrecord"
+	"cranberrycrank/internal/crankstream"
+)
+
+// stopBound is the longest stop time of a task that may borrow a guarantee.
+const stopBound = 500 * time.Millisecond
+
+// plan makes one planning round and proposes what it decided.
+func (p *Planner) plan(ctx context.Context, s crankfold.State) {
+	if !p.holds(s) || p.Box.View().Stale() {
+		return
+	}
+	decisions := p.Policy.Plan(p.round(s))
+	p.memory = decisions.Memory
+	p.published.set(decisions)
+	urgent, normal := p.records(s, decisions)
+	if len(urgent) > 0 {
+		p.propose(ctx, crankstream.PriorityHigh, urgent...)
+	}
+	if len(normal) > 0 {
+		p.propose(ctx, crankstream.PriorityNormal, normal...)
+	}
+}
+
+// records turns decisions into proposals, those of urgent jobs apart.
+func (p *Planner) records(s crankfold.State, d crank.Decisions) (urgent, normal []crankrecord.Record) {
+	term := s.Term.Number
+	owners := p.owners()
+	for n, place := range d.Places {
+		j, _ := s.Job(place.Job)
+		record := crankrecord.Record{Place: &crankrecord.Place{
+			Term:   term,
+			Job:    place.Job,
+			Number: j.Placed + 1,
+			Owner:  owners[n%len(owners)],
+			Parts:  place.Parts,
+			Evicts: place.Evicts,
+			Cell:   place.Cell,
+		}}
+		if j.Rules.Class == crank.ClassUrgent {
+			urgent = append(urgent, record)
+			continue
+		}
+		normal = append(normal, record)
+	}
+	for _, e := range d.Evicts {
+		normal = append(normal, crankrecord.Record{Evict: &crankrecord.Evict{Term: term, Attempt: e.Attempt, Reason: e.Reason}})
+	}
+	for _, r := range d.Refuse {
+		normal = append(normal, crankrecord.Record{Refuse: &crankrecord.Refuse{Term: term, Job: r.Job, Reason: r.Reason}})
+	}
+	return urgent, normal
+}
+
+// round builds the input of the policy from the state.
+func (p *Planner) round(s crankfold.State) crank.Round {
+	r := crank.Round{Now: time.Now(), Objective: s.Config.Objective, Memory: p.memory}
+	r.Workers, r.Whole = roundWorkers(s)
+	for _, j := range s.Waiting() {
+		r.Waiting = append(r.Waiting, roundJob(s, j))
+	}
+	for _, j := range s.Active() {
+		r.Active = append(r.Active, roundAttempt(s, j))
+	}
+	for _, w := range s.Config.Workspaces {
+		r.Workspaces = append(r.Workspaces, crank.RoundWorkspace{Name: w.Name, Guarantees: w.Guarantees, Quota: w.Quota})
+	}
+	return r
+}
+
+// roundWorkers returns the workers in the order of adjacency, and whether
+// every declared availability zone has one.
+func roundWorkers(s crankfold.State) ([]crank.RoundWorker, bool) {
+	known := s.Workers()
+	workers := make([]crank.RoundWorker, 0, len(known))
+	now := time.Now()
+	seen := make(map[string]bool)
+	for _, w := range known {
+		out := s.Zone(w.Zone).Out || !s.Config.HasZone(w.Zone)
+		workers = append(workers, crank.RoundWorker{
+			ID:        w.ID,
+			Zone:      w.Zone,
+			Rack:      w.Rack,
+			Capacity:  w.Capacity,
+			Free:      w.Free(),
+			InService: !out && !w.Gone && !w.Leaving && !w.Lost && !now.Before(w.AsideUntil),
+			Draining:  out || w.Leaving,
+		})
+		seen[w.Zone] = true
+	}
+	slices.SortFunc(workers, func(a, b crank.RoundWorker) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
+	})
+	whole := len(s.Config.Zones) > 0
+	for _, z := range s.Config.Zones {
+		whole = whole && seen[z.Name]
+	}
+	return workers, whole
+}
+
+func roundJob(s crankfold.State, j crankfold.Job) crank.RoundJob {
+	return crank.RoundJob{
+		ID:        j.Job,
+		Workspace: j.Workspace,
+		Profile:   j.Profile,
+		Class:     j.Rules.Class,
+		Stoppable: j.Rules.Stoppable(stopBound),
+		Shape:     j.Rules.Shape,
+		Submitted: j.SubmittedAt,
+		Deadline:  j.Deadline,
+		RunTime:   s.PredictRunTime(j.Rules),
+	}
+}
+
+func roundAttempt(s crankfold.State, j crankfold.Job) crank.RoundAttempt {
+	a := crank.RoundAttempt{
+		ID:        j.ID(),
+		Workspace: j.Workspace,
+		Class:     j.Rules.Class,
+		Stoppable: j.Rules.Stoppable(stopBound),
+		Movable:   j.Rules.Checkpointable,
+		Stopping:  j.Attempt.Stopping,
+		Cell:      j.Attempt.Cell,
+		Shape:     j.Rules.Shape,
+		Placed:    j.SubmittedAt,
+		RunTime:   s.PredictRunTime(j.Rules),
+	}
+	if !j.StartedAt.IsZero() {
+		a.Placed = j.StartedAt
+	}
+	for _, part := range j.Attempt.Parts {
+		if !part.Over() {
+			a.Parts = append(a.Parts, part.Part)
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/internal/crankterm/upkeep.go
@@ -0,0 +1,103 @@
+package crankterm
+
+import (
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankfold"
+	"cranberrycrank/internal/crankmembers"
+	"cranberrycrank/internal/crankrecord"
+)
+
+// updateWorkers proposes what the instance list shows and the state lacks.
+func (p *Planner) updateWorkers(s crankfold.State) []crankrecord.Record {
+	members := p.Members()
+	if time.Since(members.Fresh) > crank.ListFreshness {
+		return nil
+	}
+	r := &crankrecord.Workers{Term: s.Term.Number}
+	listed := make(map[string]bool, len(members.Workers))
+	for _, w := range members.Workers {
+		listed[w.ID] = true
+		known, ok := s.Worker(w.ID)
+		if !ok || known.Gone || known.Instance != w {
+			r.Update = append(r.Update, w)
+		}
+	}
+	for _, w := range s.Workers() {
+		if !listed[w.ID] && !w.Gone {
+			r.Remove = append(r.Remove, w.ID)
+		}
+	}
+	if len(r.Update) == 0 && len(r.Remove) == 0 {
+		return nil
+	}
+	return []crankrecord.Record{{Workers: r}}
+}
+
+// owners returns the lives that start attempts: this one and all others that
+// answered lately.
+func (p *Planner) owners() []string {
+	members := p.Members()
+	owners := []string{p.Life}
+	for _, l := range members.Lives {
+		if members.Running(l.ID) && l.Status.Ready {
+			owners = append(owners, l.ID)
+		}
+	}
+	return owners
+}
+
+// reassign gives attempts whose owner is gone or slow to this instance.
+func (p *Planner) reassign(s crankfold.State) []crankrecord.Record {
+	members := p.Members()
+	var records []crankrecord.Record
+	seen := make(map[crank.Position]time.Time, len(p.firstSeen))
+	for _, j := range s.Active() {
+		if j.Attempt.Started {
+			continue
+		}
+		token := j.Attempt.Token
+		first, ok := p.firstSeen[token]
+		if !ok {
+			first = time.Now()
+		}
+		seen[token] = first
+		if !p.orphaned(members, j, time.Since(first)) {
+			continue
+		}
+		p.Logger.Info("plan: attempt gets another owner", "job", j.Job, "attempt", j.Attempt.Number, "owner", j.Attempt.Owner)
+		records = append(records, crankrecord.Record{Own: &crankrecord.Own{Term: s.Term.Number, Attempt: j.ID(), Owner: p.Life}})
+	}
+	p.firstSeen = seen
+	return records
+}
+
+// orphanWait is how long an owner that does not answer keeps an attempt.
+const orphanWait = time.Second
+
+func (p *Planner) orphaned(members crankmembers.View, j crankfold.Job, age time.Duration) bool {
+	if j.Attempt.Owner == p.Life {
+		return false
+	}
+	if age > crank.DispatchTimeout {
+		return true
+	}
+	return age > orphanWait && !members.Running(j.Attempt.Owner)
+}
+
+// expire ends waiting jobs whose deadline has passed.
+func (p *Planner) expire(s crankfold.State) []crankrecord.Record {
+	now := time.Now()
+	var records []crankrecord.Record
+	for _, j := range s.Waiting() {
+		if !j.Deadline.IsZero() && now.After(j.Deadline) {
+			records = append(records, crankrecord.Record{Refuse: &crankrecord.Refuse{
+				Term:   s.Term.Number,
+				Job:    j.Job,
+				Reason: "it was not started by its deadline",
+			}})
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/pkg/crankplan/cells.go
@@ -0,0 +1,136 @@
+package crankplan
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+
+	crank "cranberrycrank"
+)
+
+// cell is one claimable unit of a workspace's guarantee.
+type cell struct {
+	name      string
+	workspace string
+	shape     crank.Shape
+	parts     []crank.Part // where it could be claimed, nil when it can't
+}
+
+// freeCells returns the cells that no attempt claims, the hardest to place
+// first.
+func freeCells(r crank.Round) []*cell {
+	claimed := make(map[string]bool)
+	for _, a := range r.Active {
+		if a.Cell != "" {
+			claimed[a.Cell] = true
+		}
+	}
+	var cells []*cell
+	for _, w := range r.Workspaces {
+		for g, guarantee := range w.Guarantees {
+			for n := range guarantee.Cells {
+				name := fmt.Sprintf("%s/%d/%d", w.Name, g, n)
+				if !claimed[name] {
+					cells = append(cells, &cell{name: name, workspace: w.Name, shape: guarantee.Shape})
+				}
+			}
+		}
+	}
+	slices.SortStableFunc(cells, func(a, b *cell) int {
+		return cmp.Compare(hardness(b.shape), hardness(a.shape))
+	})
+	return cells
+}
+
+// hardness orders shapes by how many accelerators must be adjacent.
+func hardness(s crank.Shape) int {
+	return s.Total().Accelerators*16 + s.PerTask.Accelerators
+}
+
+// bindCells finds a place for every free cell at once, on what is free or may
+// be stopped. A place of the round before is kept while it holds; when that
+// leaves a cell without a place, all are placed anew.
+func bindCells(f *fleet, cells []*cell, memory []crank.Binding) {
+	known := make(map[string][]crank.Part, len(memory))
+	for _, b := range memory {
+		known[b.Cell] = b.Parts
+	}
+	if bindPass(f, cells, known) == 0 || len(known) == 0 {
+		return
+	}
+	kept := make([][]crank.Part, len(cells))
+	missing := 0
+	for i, c := range cells {
+		kept[i] = c.parts
+		if c.parts == nil {
+			missing++
+		}
+		unbind(f, c)
+	}
+	if bindPass(f, cells, nil) < missing {
+		return
+	}
+	for i, c := range cells {
+		unbind(f, c)
+		if kept[i] != nil {
+			bind(f, c, kept[i])
+		}
+	}
+}
+
+// bindPass binds what it can and returns how many cells have no place.
+func bindPass(f *fleet, cells []*cell, known map[string][]crank.Part) (missing int) {
+	for _, c := range cells {
+		if parts := known[c.name]; parts != nil && f.canHold(c, parts) {
+			bind(f, c, parts)
+		}
+	}
+	for _, c := range cells {
+		if c.parts != nil {
+			continue
+		}
+		if parts := f.placeCell(c.shape); parts != nil {
+			bind(f, c, parts)
+			continue
+		}
+		missing++
+	}
+	return missing
+}
+
+// placeCell prefers idle workers, so that a claim stops little.
+func (f *fleet) placeCell(shape crank.Shape) []crank.Part {
+	s := search{fleet: f, view: viewSafe, shape: shape, open: always}
+	if parts := s.best(); parts != nil {
+		return parts
+	}
+	s.view = viewSoft
+	return s.best()
+}
+
+func always(int) bool { return true }
+
+// canHold reports whether a remembered place still holds the cell.
+func (f *fleet) canHold(c *cell, parts []crank.Part) bool {
+	tasks := 0
+	for _, p := range parts {
+		i, ok := f.index[p.Worker]
+		if !ok || !f.avail(viewSoft, i).Covers(c.shape.PerTask.Times(p.Tasks)) {
+			return false
+		}
+		tasks += p.Tasks
+	}
+	return tasks == c.shape.Tasks
+}
+
+func bind(f *fleet, c *cell, parts []crank.Part) {
+	c.parts = parts
+	f.hold(parts, c.shape.PerTask, 1)
+}
+
+func unbind(f *fleet, c *cell) {
+	if c.parts != nil {
+		f.hold(c.parts, c.shape.PerTask, -1)
+		c.parts = nil
+	}
+}
--- /dev/null
+++ b/pkg/crankplan/quota.go
@@ -0,0 +1,39 @@
+package crankplan
+
+import crank "cranberrycrank"
+
+// quotas counts the accelerators in use against the workspaces' quotas.
+type quotas struct {
+	limit map[string]int
+	used  map[string]int
+}
+
+func newQuotas(r crank.Round) quotas {
+	q := quotas{limit: make(map[string]int, len(r.Workspaces)), used: make(map[string]int, len(r.Workspaces))}
+	for _, w := range r.Workspaces {
+		q.limit[w.Name] = w.Quota
+	}
+	for _, a := range r.Active {
+		q.used[a.Workspace] += a.Shape.Total().Accelerators
+	}
+	return q
+}
+
+func (q quotas) allows(j crank.RoundJob) bool {
+	limit := q.limit[j.Workspace]
+	return limit == 0 || q.used[j.Workspace]+j.Shape.Total().Accelerators <= limit
+}
+
+func (q quotas) add(j crank.RoundJob) { q.used[j.Workspace] += j.Shape.Total().Accelerators }
+
+// never returns why a job can't run even on an idle fleet in full service.
+func never(f *fleet, q quotas, j crank.RoundJob) string {
+	if limit := q.limit[j.Workspace]; limit > 0 && j.Shape.Total().Accelerators > limit {
+		return reasonOverQuota
+	}
+	s := search{fleet: f, view: viewCapacity, shape: j.Shape}
+	if s.best() == nil {
+		return reasonNeverFits
+	}
+	return ""
+}
--- /dev/null
+++ b/proofs/crankproof/cluster_test.go
@@ -0,0 +1,278 @@
+package crankproof
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankfold"
+	"cranberrycrank/internal/cranknode"
+	"cranberrycrank/internal/crankrecord"
+	"cranberrycrank/pkg/crankplan"
+	"cranberrycrank/standin/crankfakelist"
+	"cranberrycrank/standin/crankfakelog"
+	"cranberrycrank/standin/crankfakeworker"
+)
+
+// cluster is a deployment in one process: entry instances over the stand-ins.
+type cluster struct {
+	t       *testing.T
+	log     *crankfakelog.Log
+	list    *crankfakelist.List
+	workers crankfakeworker.Set
+	mu      sync.Mutex
+	events  []crankfakeworker.Event
+	entries map[string]*entry
+	logger  *slog.Logger
+}
+
+// entry is one life of an entry instance and what cuts it off.
+type entry struct {
+	node    *cranknode.Node
+	cutLog  *cutLog
+	cutWork *cutWorkers
+	stop    context.CancelFunc
+	done    chan struct{}
+}
+
+func newCluster(t *testing.T, config crank.Config) *cluster {
+	c := &cluster{
+		t:       t,
+		log:     crankfakelog.New(crankfakelog.Config{}),
+		list:    crankfakelist.New(crankfakelist.Config{Lag: time.Second}),
+		workers: crankfakeworker.Set{},
+		entries: map[string]*entry{},
+		logger:  slog.New(slog.NewTextHandler(io.Discard, nil)),
+	}
+	if os.Getenv("CRANK_TEST_LOG") != "" {
+		c.logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	}
+	c.appendRecord(crankrecord.Record{Publish: &crankrecord.Publish{Config: config}})
+	return c
+}
+
+// appendRecord writes a record as an operator's tool of an earlier time did.
+func (c *cluster) appendRecord(r crankrecord.Record) {
+	data, err := crankrecord.Encode(crankrecord.Batch{Writer: "setup", Sequence: 1, At: time.Now(), Records: []crankrecord.Record{r}})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if _, err := c.log.Append(context.Background(), crank.EventStream, data); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// addWorkers adds workers with 8 accelerators, two to a rack.
+func (c *cluster) addWorkers(zone string, n int) {
+	for i := range n {
+		id := fmt.Sprintf("%s-w%d", zone, i)
+		capacity := crank.Resources{Accelerators: 8, Cores: 60, MemoryMiB: 1 << 18, Slots: 8}
+		c.workers[id] = crankfakeworker.New(crankfakeworker.Config{ID: id, Epoch: "1", Capacity: capacity, Observe: c.observe})
+		c.list.Put(crank.Instance{ID: id, Role: crank.RoleWorker, Addr: id, Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/2), Epoch: "1", Capacity: capacity})
+	}
+}
+
+func (c *cluster) observe(e crankfakeworker.Event) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.events = append(c.events, e)
+}
+
+// starts returns the starts that the workers saw.
+func (c *cluster) starts() []crankfakeworker.Event {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var list []crankfakeworker.Event
+	for _, e := range c.events {
+		if e.Kind == crankfakeworker.EventStart {
+			list = append(list, e)
+		}
+	}
+	return list
+}
+
+// startEntry starts a new life of an entry instance.
+func (c *cluster) startEntry(id string) *entry {
+	e := &entry{cutLog: &cutLog{Log: c.log}, cutWork: &cutWorkers{workers: c.workers}, done: make(chan struct{})}
+	e.node = cranknode.New(cranknode.Config{
+		Instance:       id,
+		Log:            e.cutLog,
+		List:           c.list,
+		Workers:        e.cutWork,
+		Peers:          c,
+		Policy:         crankplan.NewGuarded(),
+		Logger:         c.logger.With("instance", id),
+		SnapshotPeriod: 10 * time.Second,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	e.stop = cancel
+	c.mu.Lock()
+	c.entries[id] = e
+	c.mu.Unlock()
+	c.list.Put(crank.Instance{ID: id, Role: crank.RoleEntry, Addr: id})
+	go func() {
+		defer close(e.done)
+		_ = e.node.Run(ctx)
+	}()
+	return e
+}
+
+// kill ends an entry instance without a trace: it reaches nothing any more.
+func (c *cluster) kill(id string) {
+	c.mu.Lock()
+	e := c.entries[id]
+	delete(c.entries, id)
+	c.mu.Unlock()
+	e.cutLog.set(true)
+	e.cutWork.set(true)
+	c.list.Remove(id)
+	e.stop()
+	<-e.done
+}
+
+// stopAll ends all entry instances gracefully.
+func (c *cluster) stopAll() {
+	c.mu.Lock()
+	entries := c.entries
+	c.entries = map[string]*entry{}
+	c.mu.Unlock()
+	for _, e := range entries {
+		e.stop()
+	}
+	for _, e := range entries {
+		<-e.done
+	}
+}
+
+// Peer implements crank.PeerDialer.
+func (c *cluster) Peer(addr string) crank.Peer { return &localPeer{cluster: c, id: addr} }
+
+// localPeer is another instance of the same process.
+type localPeer struct {
+	cluster *cluster
+	id      string
+}
+
+func (p *localPeer) entry() (*entry, error) {
+	p.cluster.mu.Lock()
+	defer p.cluster.mu.Unlock()
+	e, ok := p.cluster.entries[p.id]
+	if !ok {
+		return nil, crank.Fail("peer call", crank.KindUnavailable, "no instance at %s", p.id)
+	}
+	return e, nil
+}
+
+func (p *localPeer) Status(context.Context) (crank.PeerStatus, error) {
+	e, err := p.entry()
+	if err != nil {
+		return crank.PeerStatus{}, err
+	}
+	return e.node.Status(), nil
+}
+
+func (p *localPeer) Append(ctx context.Context, s crank.Stream, data []byte) (crank.Offset, error) {
+	e, err := p.entry()
+	if err != nil {
+		return 0, err
+	}
+	return e.cutLog.Append(ctx, s, data)
+}
+
+func (p *localPeer) Read(ctx context.Context, s crank.Stream, from crank.Offset, limit int, wait time.Duration) (crank.Batch, error) {
+	e, err := p.entry()
+	if err != nil {
+		return crank.Batch{}, err
+	}
+	return e.cutLog.Read(ctx, s, from, limit, wait)
+}
+
+// cutLog is one instance's way to the log, which can be cut.
+type cutLog struct {
+	crank.Log
+	mu  sync.Mutex
+	cut bool
+}
+
+func (l *cutLog) set(cut bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = cut
+}
+
+func (l *cutLog) isCut() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut
+}
+
+func (l *cutLog) Append(ctx context.Context, s crank.Stream, data []byte) (crank.Offset, error) {
+	if l.isCut() {
+		return 0, crank.Fail("log append", crank.KindUnavailable, "cut off")
+	}
+	return l.Log.Append(ctx, s, data)
+}
+
+func (l *cutLog) Read(ctx context.Context, s crank.Stream, from crank.Offset, limit int, wait time.Duration) (crank.Batch, error) {
+	if l.isCut() {
+		return crank.Batch{}, crank.Fail("log read", crank.KindUnavailable, "cut off")
+	}
+	b, err := l.Log.Read(ctx, s, from, limit, wait)
+	if l.isCut() {
+		return crank.Batch{}, crank.Fail("log read", crank.KindUnavailable, "cut off")
+	}
+	return b, err
+}
+
+// cutWorkers is one instance's way to the workers, which can be cut.
+type cutWorkers struct {
+	workers crankfakeworker.Set
+	mu      sync.Mutex
+	cut     bool
+}
+
+func (w *cutWorkers) set(cut bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cut = cut
+}
+
+// Worker implements crank.WorkerDialer.
+func (w *cutWorkers) Worker(addr string) crank.Worker {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut {
+		return crankfakeworker.Set{}.Worker(addr)
+	}
+	return w.workers.Worker(addr)
+}
+
+// submit sends a request until an instance gives a definite answer.
+func (c *cluster) submit(e *entry, r cranknode.Request) string {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	ticket, err := e.node.Submit(ctx, r)
+	if err != nil {
+		c.t.Fatalf("submit: %v", err)
+	}
+	return ticket.Job
+}
+
+// await waits for the outcome of a job.
+func (c *cluster) await(e *entry, job string, limit time.Duration) crankfold.Job {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	j, err := e.node.Wait(ctx, job)
+	if err != nil {
+		c.t.Fatalf("wait: %v", err)
+	}
+	return j
+}
--- /dev/null
+++ b/standin/crankfakelog/log.go
@@ -0,0 +1,203 @@
+// Package crankfakelog is a small stand-in for the platform's log service. It
+// keeps its streams in memory and causes the faults that a test asks for.
+package crankfakelog
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	crank "cranberrycrank"
+)
+
+// Config sets up a Log.
+type Config struct {
+	Retention time.Duration // age at which entries are dropped, 0 for never
+}
+
+// Faults says how the log misbehaves from now on.
+type Faults struct {
+	Down       bool          // every call fails at once, without effect
+	LoseAnswer bool          // appends take effect, then fail
+	Delay      time.Duration // before each call takes effect
+	LateAnswer time.Duration // after each call took effect
+}
+
+// Log keeps streams in memory.
+type Log struct {
+	config  Config
+	mu      sync.Mutex
+	streams map[crank.Stream]*stream
+	faults  Faults
+	appends int
+}
+
+type stream struct {
+	entries []crank.Entry
+	times   []time.Time
+	first   crank.Offset
+	changed chan struct{}
+}
+
+// New returns an empty log.
+func New(c Config) *Log {
+	return &Log{config: c, streams: make(map[crank.Stream]*stream)}
+}
+
+// SetFaults replaces the faults.
+func (l *Log) SetFaults(f Faults) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.faults = f
+}
+
+// Appends returns how many appends took effect.
+func (l *Log) Appends() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.appends
+}
+
+// Expire drops every entry of a stream before an offset.
+func (l *Log) Expire(name crank.Stream, before crank.Offset) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.stream(name).dropBefore(before)
+}
+
+// Append implements crank.Log.
+func (l *Log) Append(ctx context.Context, name crank.Stream, data []byte) (crank.Offset, error) {
+	f, err := l.begin(ctx)
+	if err != nil {
+		return 0, err
+	}
+	offset := l.add(name, data)
+	if f.LoseAnswer {
+		return 0, crank.Fail("log append", crank.KindUnknown, "the answer was lost")
+	}
+	if err := sleep(ctx, f.LateAnswer); err != nil {
+		return 0, crank.Wrap("log append", crank.KindUnknown, err)
+	}
+	return offset, nil
+}
+
+func (l *Log) add(name crank.Stream, data []byte) crank.Offset {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	offset := s.end()
+	s.entries = append(s.entries, crank.Entry{Offset: offset, Data: append([]byte(nil), data...)})
+	s.times = append(s.times, time.Now())
+	l.appends++
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return offset
+}
+
+// Read implements crank.Log.
+func (l *Log) Read(ctx context.Context, name crank.Stream, from crank.Offset, limit int, wait time.Duration) (crank.Batch, error) {
+	f, err := l.begin(ctx)
+	if err != nil {
+		return crank.Batch{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		b, changed, err := l.read(name, from, limit)
+		if err != nil || len(b.Entries) > 0 || wait == 0 {
+			return l.answer(ctx, f, b, err)
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return l.answer(ctx, f, b, nil)
+		case <-ctx.Done():
+			return crank.Batch{}, crank.Wrap("log read", crank.KindUnavailable, ctx.Err())
+		}
+	}
+}
+
+func (l *Log) answer(ctx context.Context, f Faults, b crank.Batch, err error) (crank.Batch, error) {
+	if late := sleep(ctx, f.LateAnswer); late != nil {
+		return crank.Batch{}, crank.Wrap("log read", crank.KindUnavailable, late)
+	}
+	l.mu.Lock()
+	down := l.faults.Down
+	l.mu.Unlock()
+	if down {
+		return crank.Batch{}, crank.Fail("log read", crank.KindUnavailable, "the log is down")
+	}
+	return b, err
+}
+
+func (l *Log) read(name crank.Stream, from crank.Offset, limit int) (crank.Batch, <-chan struct{}, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	s := l.stream(name)
+	l.dropOld(s)
+	b := crank.Batch{First: s.first, End: s.end()}
+	if from < s.first {
+		return b, nil, crank.Fail("log read", crank.KindExpired, "offset %d is no longer kept, the first is %d", from, s.first)
+	}
+	if from < b.End {
+		rest := s.entries[from-s.first:]
+		b.Entries = append([]crank.Entry(nil), rest[:min(limit, len(rest))]...)
+	}
+	return b, s.changed, nil
+}
+
+// begin applies the faults that come before a call takes effect.
+func (l *Log) begin(ctx context.Context) (Faults, error) {
+	l.mu.Lock()
+	f := l.faults
+	l.mu.Unlock()
+	if f.Down {
+		return f, crank.Fail("log call", crank.KindUnavailable, "the log is down")
+	}
+	if err := sleep(ctx, f.Delay); err != nil {
+		return f, crank.Wrap("log call", crank.KindUnavailable, err)
+	}
+	return f, nil
+}
+
+func (l *Log) stream(name crank.Stream) *stream {
+	s, ok := l.streams[name]
+	if !ok {
+		s = &stream{changed: make(chan struct{})}
+		l.streams[name] = s
+	}
+	return s
+}
+
+func (l *Log) dropOld(s *stream) {
+	if l.config.Retention == 0 {
+		return
+	}
+	oldest := time.Now().Add(-l.config.Retention)
+	n := 0
+	for n < len(s.times) && s.times[n].Before(oldest) {
+		n++
+	}
+	s.dropBefore(s.first + crank.Offset(n))
+}
+
+func (s *stream) end() crank.Offset { return s.first + crank.Offset(len(s.entries)) }
+
+func (s *stream) dropBefore(offset crank.Offset) {
+	n := max(0, min(int(offset-s.first), len(s.entries)))
+	s.entries = s.entries[n:]
+	s.times = s.times[n:]
+	s.first += crank.Offset(n)
+}
+
+func sleep(ctx context.Context, d time.Duration) error {
+	if d == 0 {
+		return nil
+	}
+	select {
+	case <-time.After(d):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/standin/crankfakeworker/worker.go
@@ -0,0 +1,467 @@
+// Package crankfakeworker is a small stand-in for one of the platform's
+// workers. Its tasks only wait; it causes the faults that a test asks for.
+package crankfakeworker
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"sync"
+	"time"
+
+	crank "cranberrycrank"
+)
+
+// Config sets up a Worker.
+type Config struct {
+	ID       string
+	Epoch    string // one life of the worker
+	Capacity crank.Resources
+	StopTime time.Duration // from a stop to the end of the part
+	Observe  func(Event)   // called for every event, may be nil
+}
+
+// EventKind says what happened to a part.
+type EventKind string
+
+// Kinds of events.
+const (
+	EventReserve EventKind = "reserve"
+	EventStart   EventKind = "start"
+	EventEnd     EventKind = "end"
+)
+
+// Event is something that happened at the worker.
+type Event struct {
+	At      time.Time
+	Worker  string
+	Kind    EventKind
+	Attempt crank.AttemptID
+	Tasks   int
+	State   crank.PartState // of an end
+	Payload []byte          // of a start
+}
+
+// Faults says how the worker misbehaves from now on.
+type Faults struct {
+	FailAll    bool // every part fails as soon as it is started
+	Hang       bool // calls are not answered
+	LoseAnswer bool // calls take effect, then fail
+	Unreached  bool // calls fail without effect
+}
+
+// Worker runs parts.
+type Worker struct {
+	config   Config
+	mu       sync.Mutex
+	parts    map[crank.AttemptID]*part
+	free     crank.Resources
+	revision int64
+	changed  chan struct{}
+	leaving  bool
+	faults   Faults
+}
+
+type part struct {
+	status    crank.PartStatus
+	token     crank.Position
+	barred    crank.Position // this token and older ones can't reserve any more
+	tasks     int
+	resources crank.Resources
+	revision  int64
+	timer     *time.Timer // lapse, then lease
+	run       *time.Timer
+	answer    []byte
+}
+
+// New returns an idle worker.
+func New(c Config) *Worker {
+	return &Worker{config: c, parts: make(map[crank.AttemptID]*part), free: c.Capacity, changed: make(chan struct{})}
+}
+
+// SetFaults replaces the faults.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+}
+
+// SetLeaving marks the worker as leaving.
+func (w *Worker) SetLeaving(leaving bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.leaving = leaving
+	w.touch(nil)
+}
+
+// Restart ends every part without a trace, as the death of the worker does.
+func (w *Worker) Restart(epoch string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for id, p := range w.parts {
+		p.stopTimers()
+		if p.status.State == crank.PartRunning {
+			w.observe(EventEnd, id, p, nil)
+		}
+	}
+	w.config.Epoch = epoch
+	w.parts = make(map[crank.AttemptID]*part)
+	w.free = w.config.Capacity
+	w.revision = 0
+	w.touch(nil)
+}
+
+// Reserve implements crank.Worker.
+func (w *Worker) Reserve(ctx context.Context, r crank.Reservation) error {
+	return w.call(ctx, "worker reserve", func() error {
+		if err := w.checkEpoch(r.Command); err != nil {
+			return err
+		}
+		if w.leaving {
+			return crank.Fail("worker reserve", crank.KindRefused, "the worker is leaving")
+		}
+		p, ok := w.parts[r.Attempt]
+		if ok && (r.Token < p.token || r.Token <= p.barred) {
+			return fenced("worker reserve")
+		}
+		if ok && p.status.State != crank.PartFenced {
+			return w.reserveAgain(p, r)
+		}
+		if !w.free.Covers(r.Resources) {
+			return crank.Fail("worker reserve", crank.KindUnavailable, "no room")
+		}
+		p = &part{status: crank.PartStatus{Attempt: r.Attempt, State: crank.PartReserved}, token: r.Token, tasks: r.Tasks, resources: r.Resources}
+		w.parts[r.Attempt] = p
+		w.free = w.free.Minus(r.Resources)
+		w.armLapse(p, r.Lapse)
+		w.touch(p)
+		w.observe(EventReserve, r.Attempt, p, nil)
+		return nil
+	})
+}
+
+// reserveAgain answers a repeated reservation. Only a newer token extends it.
+func (w *Worker) reserveAgain(p *part, r crank.Reservation) error {
+	newer := r.Token > p.token
+	p.token = r.Token
+	if newer && p.status.State == crank.PartReserved {
+		p.stopTimers()
+		w.armLapse(p, r.Lapse)
+	}
+	switch p.status.State {
+	case crank.PartReserved, crank.PartRunning, crank.PartDone:
+		return nil
+	}
+	return crank.Fail("worker reserve", crank.KindRefused, "the part has ended as %s", p.status.State)
+}
+
+func (w *Worker) armLapse(p *part, lapse time.Duration) {
+	var timer *time.Timer
+	timer = time.AfterFunc(lapse, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if p.timer == timer && p.status.State == crank.PartReserved {
+			w.finish(p, crank.PartFenced, "the reservation lapsed")
+		}
+	})
+	p.timer = timer
+}
+
+// Start implements crank.Worker.
+func (w *Worker) Start(ctx context.Context, s crank.Start) error {
+	return w.call(ctx, "worker start", func() error {
+		if err := w.checkEpoch(s.Command); err != nil {
+			return err
+		}
+		p, ok := w.parts[s.Attempt]
+		if !ok || s.Token < p.token {
+			return fenced("worker start")
+		}
+		switch p.status.State {
+		case crank.PartRunning, crank.PartDone:
+			return nil
+		case crank.PartReserved:
+			w.run(p, s)
+			return nil
+		}
+		return crank.Fail("worker start", crank.KindRefused, "no reservation is held")
+	})
+}
+
+func (w *Worker) run(p *part, s crank.Start) {
+	work, duration := ParseWork(s.Payload)
+	p.status.State = crank.PartRunning
+	w.armLease(p, s.Lease)
+	w.touch(p)
+	w.observe(EventStart, s.Attempt, p, s.Payload)
+	if w.faults.FailAll {
+		duration = 0
+	}
+	failed := work.Fail || w.faults.FailAll
+	p.run = time.AfterFunc(duration, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if p.status.State != crank.PartRunning {
+			return
+		}
+		if failed {
+			w.finish(p, crank.PartFailed, "the task failed")
+			return
+		}
+		if s.Lead {
+			p.setAnswer(Answer(s.Payload))
+		}
+		w.finish(p, crank.PartDone, "")
+	})
+}
+
+func (p *part) setAnswer(answer []byte) {
+	sum := sha256.Sum256(answer)
+	p.answer = answer
+	p.status.Digest = hex.EncodeToString(sum[:])
+	p.status.Size = len(answer)
+	if len(answer) <= crank.MaxInlineBytes {
+		p.status.Inline = answer
+	}
+}
+
+func (w *Worker) armLease(p *part, lease time.Duration) {
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+	var timer *time.Timer
+	timer = time.AfterFunc(lease, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if p.timer == timer && p.status.State == crank.PartRunning {
+			w.finish(p, crank.PartStopped, "the lease lapsed")
+		}
+	})
+	p.timer = timer
+}
+
+// Fence implements crank.Worker.
+func (w *Worker) Fence(ctx context.Context, c crank.Command) (status crank.PartStatus, err error) {
+	err = w.call(ctx, "worker fence", func() error {
+		p, err := w.fence(c)
+		if err != nil {
+			return err
+		}
+		if p.status.State == crank.PartReserved {
+			w.finish(p, crank.PartFenced, "released")
+		}
+		status = p.status
+		return nil
+	})
+	return status, err
+}
+
+// fence raises the token of a part, which is created when it is not known.
+func (w *Worker) fence(c crank.Command) (*part, error) {
+	if err := w.checkEpoch(c); err != nil {
+		return nil, err
+	}
+	p, ok := w.parts[c.Attempt]
+	if !ok {
+		p = &part{status: crank.PartStatus{Attempt: c.Attempt, State: crank.PartFenced}}
+		w.parts[c.Attempt] = p
+	}
+	if c.Token < p.token {
+		return nil, fenced("worker fence")
+	}
+	p.token = c.Token
+	p.barred = c.Token
+	return p, nil
+}
+
+// Stop implements crank.Worker.
+func (w *Worker) Stop(ctx context.Context, c crank.Command) (status crank.PartStatus, err error) {
+	err = w.call(ctx, "worker stop", func() error {
+		p, err := w.fence(c)
+		if err != nil {
+			return err
+		}
+		if p.status.State == crank.PartReserved {
+			w.finish(p, crank.PartFenced, "released")
+		}
+		if p.status.State == crank.PartRunning {
+			w.stopLater(p)
+		}
+		status = p.status
+		return nil
+	})
+	return status, err
+}
+
+func (w *Worker) stopLater(p *part) {
+	if w.config.StopTime == 0 {
+		w.finish(p, crank.PartStopped, "stopped")
+		return
+	}
+	time.AfterFunc(w.config.StopTime, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if p.status.State == crank.PartRunning {
+			w.finish(p, crank.PartStopped, "stopped")
+		}
+	})
+}
+
+func (w *Worker) checkEpoch(c crank.Command) error {
+	if c.Epoch == w.config.Epoch {
+		return nil
+	}
+	return crank.Fail("worker call", crank.KindNotFound, "the worker restarted")
+}
+
+// Renew implements crank.Worker.
+func (w *Worker) Renew(ctx context.Context, r crank.Renewal) (report crank.Report, err error) {
+	timer := time.NewTimer(r.Wait)
+	defer timer.Stop()
+	first := true
+	for {
+		var changed <-chan struct{}
+		err = w.call(ctx, "worker renew", func() error {
+			if first {
+				w.extend(r)
+			}
+			report = w.report(r)
+			changed = w.changed
+			return nil
+		})
+		first = false
+		if err != nil || len(report.Parts) > 0 || report.Epoch != r.Epoch || report.Revision != r.Since {
+			return report, err
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return report, nil
+		case <-ctx.Done():
+			return report, crank.Wrap("worker renew", crank.KindUnknown, ctx.Err())
+		}
+	}
+}
+
+func (w *Worker) extend(r crank.Renewal) {
+	for _, id := range r.Attempts {
+		if p, ok := w.parts[id]; ok && p.status.State == crank.PartRunning {
+			w.armLease(p, r.Lease)
+		}
+	}
+}
+
+func (w *Worker) report(r crank.Renewal) crank.Report {
+	since := r.Since
+	if r.Epoch != w.config.Epoch {
+		since = 0
+	}
+	report := crank.Report{Epoch: w.config.Epoch, Revision: w.revision, Leaving: w.leaving}
+	for _, p := range w.parts {
+		if p.revision > since {
+			report.Parts = append(report.Parts, p.status)
+		}
+	}
+	return report
+}
+
+// Answer implements crank.Worker.
+func (w *Worker) Answer(ctx context.Context, a crank.AttemptID) (answer []byte, err error) {
+	err = w.call(ctx, "worker answer", func() error {
+		p, ok := w.parts[a]
+		if !ok || p.status.State != crank.PartDone {
+			return crank.Fail("worker answer", crank.KindNotFound, "no answer of this attempt is kept")
+		}
+		answer = p.answer
+		return nil
+	})
+	return answer, err
+}
+
+// Forget implements crank.Worker.
+func (w *Worker) Forget(ctx context.Context, attempts []crank.AttemptID) error {
+	return w.call(ctx, "worker forget", func() error {
+		for _, id := range attempts {
+			if p, ok := w.parts[id]; ok && p.status.State.Ended() {
+				delete(w.parts, id)
+			}
+		}
+		return nil
+	})
+}
+
+// call runs f under the lock and applies the faults around it.
+func (w *Worker) call(ctx context.Context, op string, f func() error) error {
+	w.mu.Lock()
+	faults := w.faults
+	w.mu.Unlock()
+	if faults.Unreached {
+		return crank.Fail(op, crank.KindUnavailable, "the worker is out of reach")
+	}
+	if faults.Hang {
+		<-ctx.Done()
+		return crank.Wrap(op, crank.KindUnknown, ctx.Err())
+	}
+	w.mu.Lock()
+	err := f()
+	w.mu.Unlock()
+	if faults.LoseAnswer {
+		return crank.Fail(op, crank.KindUnknown, "the answer was lost")
+	}
+	return err
+}
+
+// finish ends a part and gives its resources back.
+func (w *Worker) finish(p *part, state crank.PartState, detail string) {
+	p.stopTimers()
+	ran := p.status.State == crank.PartRunning
+	p.barred = p.token
+	p.status.State = state
+	p.status.Detail = detail
+	w.free = w.free.Plus(p.resources)
+	w.touch(p)
+	if ran {
+		w.observe(EventEnd, p.status.Attempt, p, nil)
+	}
+}
+
+func (p *part) stopTimers() {
+	if p.timer != nil {
+		p.timer.Stop()
+	}
+	if p.run != nil {
+		p.run.Stop()
+	}
+}
+
+func (w *Worker) touch(p *part) {
+	w.revision++
+	if p != nil {
+		p.revision = w.revision
+	}
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *Worker) observe(kind EventKind, id crank.AttemptID, p *part, payload []byte) {
+	if w.config.Observe == nil {
+		return
+	}
+	w.config.Observe(Event{At: time.Now(), Worker: w.config.ID, Kind: kind, Attempt: id, Tasks: p.tasks, State: p.status.State, Payload: payload})
+}
+
+func fenced(op string) error {
+	return crank.Fail(op, crank.KindRefused, "a newer token was seen")
+}
+
+// Set is a group of workers by address. It implements crank.WorkerDialer.
+type Set map[string]*Worker
+
+// Worker implements crank.WorkerDialer.
+func (s Set) Worker(addr string) crank.Worker {
+	if w, ok := s[addr]; ok {
+		return w
+	}
+	return absent(fmt.Sprintf("no worker at %s", addr))
+}
