--- /dev/null
+++ b/Makefile
@@ -0,0 +1,36 @@
+# Builds, checks and demonstrates cranberrycrank. Every target does its own
+# set-up.
+
+GO ?= go
+STATICCHECK_VERSION = v0.8.2
+MODULES = . ./cmd ./internal ./pkg ./proofs ./standin
+
+.PHONY: build test race lint format demo measure bench fuzz
+
+build:
+	$(GO) build -o bin/cranberrycrank ./cmd/cranberrycrank
+	$(GO) build -o bin/crankstandin ./standin/cmd/crankstandin
+
+test: build
+	scripts/test
+
+race:
+	$(GO) test -race -count=1 work
+
+lint:
+	scripts/lint $(STATICCHECK_VERSION)
+
+format:
+	gofmt -w $(MODULES)
+
+demo: build
+	scripts/demo
+
+measure:
+	$(GO) test -count=1 -run TestMeasure -v ./pkg/crankplan -measure
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/crankplan ./internal/crankfold
+
+fuzz:
+	scripts/fuzz
--- /dev/null
+++ b/cmd/internal/crankcli/config.go
@@ -0,0 +1,189 @@
+package crankcli
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankconf"
+	"cranberrycrank/pkg/crankapi"
+	"cranberrycrank/pkg/crankclient"
+
+	"github.com/google/subcommands"
+)
+
+func configCommands(c Config) []subcommands.Command {
+	publish := &publishOptions{}
+	show := &showOptions{}
+	return []subcommands.Command{
+		&command{remote: remote{env: c}, name: "publish", args: "<directory>", synopsis: "check a configuration directory and put it in force", flags: publish.set, run: publish.run},
+		&command{remote: remote{env: c}, name: "diff", args: "<directory>", synopsis: "compare a directory with what is in force", run: diffConfig},
+		&command{remote: remote{env: c}, name: "show", synopsis: "show what is in force", flags: show.set, run: show.run},
+		&command{remote: remote{env: c}, name: "history", synopsis: "show earlier publications", run: configHistory},
+	}
+}
+
+type publishOptions struct {
+	base   int
+	dryRun bool
+}
+
+func (o *publishOptions) set(f *flag.FlagSet) {
+	f.IntVar(&o.base, "base", -1, "version that the change is based on, -1 for the one in force")
+	f.BoolVar(&o.dryRun, "dry-run", false, "check only")
+}
+
+func (o *publishOptions) run(ctx context.Context, c *command, client *crankclient.Client, f *flag.FlagSet) subcommands.ExitStatus {
+	config, status := readConfig(c, f)
+	if status != exitOK {
+		return status
+	}
+	base := o.base
+	if base < 0 {
+		current, err := client.Config(ctx)
+		if err != nil {
+			return fail(c.env, err)
+		}
+		base = current.Version
+	}
+	done, err := client.Publish(ctx, crankapi.PublishRequest{Base: base, DryRun: o.dryRun, Files: config.Files})
+	if err != nil {
+		return fail(c.env, err)
+	}
+	return c.printConfirmation(done, fmt.Sprintf("version %d", done.Version))
+}
+
+// printConfirmation shows which instances have a change in force.
+func (c *command) printConfirmation(done crankapi.Confirmation, what string) subcommands.ExitStatus {
+	status := c.print(done, func(w *tabwriter.Writer) {
+		row(w, what+" is in force at", strings.Join(done.Applied, " "))
+		if len(done.Missing) > 0 {
+			row(w, "not confirmed by", strings.Join(done.Missing, " "))
+		}
+	})
+	if status == exitOK && len(done.Missing) > 0 {
+		return exitUnconfirmed
+	}
+	return status
+}
+
+func readConfig(c *command, f *flag.FlagSet) (crank.Config, subcommands.ExitStatus) {
+	directory, err := oneArg(f, "configuration directory")
+	if err != nil {
+		return crank.Config{}, fail(c.env, err)
+	}
+	config, err := crankconf.ReadDirectory(directory)
+	if err != nil {
+		fmt.Fprintln(c.env.Err, err)
+		return crank.Config{}, exitInvalid
+	}
+	return config, exitOK
+}
+
+func diffConfig(ctx context.Context, c *command, client *crankclient.Client, f *flag.FlagSet) subcommands.ExitStatus {
+	config, status := readConfig(c, f)
+	if status != exitOK {
+		return status
+	}
+	current, err := client.Config(ctx)
+	if err != nil {
+		return fail(c.env, err)
+	}
+	lines := diffFiles(current.Config.Files, config.Files)
+	return c.print(lines, func(w *tabwriter.Writer) {
+		for _, line := range lines {
+			row(w, line)
+		}
+	})
+}
+
+// diffFiles lists the lines that one set of files has and the other lacks.
+func diffFiles(old, new []crank.File) []string {
+	before, after := fileLines(old), fileLines(new)
+	lines := []string{}
+	for _, line := range before {
+		if !contains(after, line) {
+			lines = append(lines, "- "+line)
+		}
+	}
+	for _, line := range after {
+		if !contains(before, line) {
+			lines = append(lines, "+ "+line)
+		}
+	}
+	return lines
+}
+
+func contains(list []string, s string) bool {
+	for _, l := range list {
+		if l == s {
+			return true
+		}
+	}
+	return false
+}
+
+// fileLines returns the keys of all files, each behind its file and section.
+func fileLines(files []crank.File) []string {
+	var lines []string
+	for _, file := range files {
+		section := ""
+		for _, line := range strings.Split(file.Text, "\n") {
+			line = strings.TrimSpace(line)
+			if strings.HasPrefix(line, "[") {
+				section = line
+			}
+			if line != "" && !strings.HasPrefix(line, "#") {
+				lines = append(lines, fmt.Sprintf("%s %s %s", file.Name, section, line))
+			}
+		}
+	}
+	return lines
+}
+
+type showOptions struct{ directory string }
+
+func (o *showOptions) set(f *flag.FlagSet) {
+	f.StringVar(&o.directory, "directory", "", "write the files into this directory")
+}
+
+func (o *showOptions) run(ctx context.Context, c *command, client *crankclient.Client, _ *flag.FlagSet) subcommands.ExitStatus {
+	current, err := client.Config(ctx)
+	if err != nil {
+		return fail(c.env, err)
+	}
+	if o.directory != "" {
+		for _, file := range current.Config.Files {
+			path := filepath.Join(o.directory, filepath.Base(file.Name))
+			if err := os.WriteFile(path, []byte(file.Text), 0o644); err != nil {
+				return fail(c.env, err)
+			}
+		}
+	}
+	return c.print(current, func(w *tabwriter.Writer) {
+		row(w, "# version", current.Version)
+		for _, file := range current.Config.Files {
+			row(w, "# "+file.Name)
+			row(w, file.Text)
+		}
+	})
+}
+
+func configHistory(ctx context.Context, c *command, client *crankclient.Client, _ *flag.FlagSet) subcommands.ExitStatus {
+	current, err := client.Config(ctx)
+	if err != nil {
+		return fail(c.env, err)
+	}
+	return c.print(current.History, func(w *tabwriter.Writer) {
+		row(w, "VERSION", "AT", "BY")
+		for _, h := range current.History {
+			row(w, h.Version, h.At.Format(time.RFC3339), h.By)
+		}
+	})
+}
--- a/config.go
+++ b/config.go
@@ -71,6 +71,13 @@
 	Zones      []Zone      `json:"zones"`
 	Profiles   []Profile   `json:"profiles"`
 	Workspaces []Workspace `json:"workspaces"`
+	Files      []File      `json:"files"` // what it was read from
+}
+
+// File is one file of a configuration directory.
+type File struct {
+	Name string `json:"name"`
+	Text string `json:"text"`
 }
 
 // Profile returns the profile with a name.
--- /dev/null
+++ b/internal/crankburn/burn.go
@@ -0,0 +1,65 @@
+// Package crankburn computes how fast the error budgets of the service levels
+// burn.
+package crankburn
+
+import (
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankfold"
+	"cranberrycrank/pkg/crankapi"
+)
+
+// windows of the report, in minutes, the shortest first.
+var windows = []int{5, 30, 60, 360}
+
+// Thresholds of the two multi-window alerts: both windows must burn faster.
+const (
+	pageRate   = 14.4 // 5 minutes and 1 hour: 2 % of a 30-day budget in an hour
+	ticketRate = 6.0  // 30 minutes and 6 hours: 5 % of a 30-day budget in six hours
+)
+
+// Report computes the burn rates at a time.
+func Report(s crankfold.State, now time.Time) crankapi.Burn {
+	report := crankapi.Burn{At: now.UTC(), Lines: []crankapi.BurnLine{}}
+	for _, series := range s.Burn() {
+		profile, ok := s.Config.Profile(series.Profile)
+		if !ok {
+			continue
+		}
+		report.Lines = append(report.Lines, line(series, profile, now))
+	}
+	return report
+}
+
+func line(series crankfold.BurnSeries, p crank.Profile, now time.Time) crankapi.BurnLine {
+	l := crankapi.BurnLine{Profile: series.Profile, Workspace: series.Workspace, Objective: p.Objective}
+	rates := make(map[int]float64, len(windows))
+	for _, minutes := range windows {
+		w := window(series, p, now, minutes)
+		rates[minutes] = w.Rate
+		l.Windows = append(l.Windows, w)
+	}
+	switch {
+	case rates[5] > pageRate && rates[60] > pageRate:
+		l.Alert = "page"
+	case rates[30] > ticketRate && rates[360] > ticketRate:
+		l.Alert = "ticket"
+	}
+	return l
+}
+
+func window(series crankfold.BurnSeries, p crank.Profile, now time.Time, minutes int) crankapi.BurnWindow {
+	w := crankapi.BurnWindow{Minutes: minutes}
+	oldest := now.Unix()/60 - int64(minutes)
+	for _, b := range series.Buckets {
+		if b.Minute > oldest {
+			w.Total += b.Total
+			w.Missed += b.Missed
+		}
+	}
+	if w.Total > 0 && p.Objective < 1 {
+		w.Rate = float64(w.Missed) / float64(w.Total) / (1 - p.Objective)
+	}
+	return w
+}
--- a/internal/crankkeep/keep.go
+++ b/internal/crankkeep/keep.go
@@ -28,6 +28,7 @@
 // Config sets up a Keeper.
 type Config struct {
 	Self    string // identity of this instance in the list
+	Log     crank.Log
 	Box     *crankbox.Box
 	Writer  Proposer
 	Members func() crankmembers.View
--- a/internal/crankkeep/watch.go
+++ b/internal/crankkeep/watch.go
@@ -108,25 +108,45 @@
 // recordEnded proposes a record for every part that ended, and reports whether
 // all of them were appended.
 func (w *watch) recordEnded(ctx context.Context, report crank.Report) bool {
-	var records []crankrecord.Record
-	var forget []crank.AttemptID
 	state := w.Box.View().State
-	for _, status := range report.Parts {
-		j, ok := state.Job(status.Attempt.Job)
-		switch {
-		case !ok:
-			forget = append(forget, status.Attempt)
-		case status.State.Ended() && status.State != crank.PartFenced && w.open(j, status.Attempt):
-			records = append(records, ended(w.id, status))
+	found := w.sort(state, report.Parts)
+	if len(found.unsure) > 0 {
+		call, cancel := context.WithTimeout(ctx, crank.CallTimeout)
+		view, err := crankstream.Sync(call, w.Log, w.Box)
+		cancel()
+		if err != nil {
+			return false
 		}
+		found = w.sort(view.State, report.Parts)
 	}
-	records = append(records, w.restarted(report.Epoch)...)
-	if len(forget) > 0 {
+	if len(found.unsure) > 0 {
 		call, cancel := context.WithTimeout(ctx, crank.CallTimeout)
-		_ = w.Workers.Worker(w.addr).Forget(call, forget)
+		_ = w.Workers.Worker(w.addr).Forget(call, found.unsure)
 		cancel()
 	}
-	return w.propose(ctx, records)
+	return w.propose(ctx, append(found.ended, w.restarted(report.Epoch)...))
+}
+
+// findings sorts the parts of a report.
+type findings struct {
+	ended  []crankrecord.Record
+	unsure []crank.AttemptID // the state does not have them, or not yet
+}
+
+// sort compares a report with a state. A state that is behind the report lacks
+// attempts that the worker has ended already; one that is not lacks only what
+// was dropped with its job.
+func (w *watch) sort(state crankfold.State, parts []crank.PartStatus) (f findings) {
+	for _, status := range parts {
+		j, ok := state.Job(status.Attempt.Job)
+		switch {
+		case !ok || status.Attempt.Number > j.Attempt.Number:
+			f.unsure = append(f.unsure, status.Attempt)
+		case status.State.Ended() && status.State != crank.PartFenced && w.open(j, status.Attempt):
+			f.ended = append(f.ended, ended(w.id, status))
+		}
+	}
+	return f
 }
 
 // open reports whether the state lacks the end of an attempt's part here.
--- a/internal/crankmembers/members.go
+++ b/internal/crankmembers/members.go
@@ -89,6 +89,7 @@
 			v.Workers = append(v.Workers, i)
 		}
 	}
+	v.Entries = t.withSelf(v.Entries)
 	v.Lives = t.askPeers(ctx, v.Entries)
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -98,35 +99,53 @@
 	return nil
 }
 
-// askPeers asks every other entry instance for its status.
-func (t *Tracker) askPeers(ctx context.Context, entries []crank.Instance) map[string]Life {
-	old := t.View().Lives
-	lives := make(map[string]Life, len(entries))
-	var mu sync.Mutex
-	var wg sync.WaitGroup
+// withSelf adds this instance when the list lacks it: the list lags, and a
+// worker must not be without a keeper while it does.
+func (t *Tracker) withSelf(entries []crank.Instance) []crank.Instance {
 	for _, e := range entries {
 		if e.ID == t.Self {
-			continue
+			return entries
 		}
-		if life, ok := old[e.ID]; ok {
-			lives[e.ID] = life
+	}
+	return append(entries, crank.Instance{ID: t.Self, Role: crank.RoleEntry})
+}
+
+// askPeers asks every other entry instance for its status at once. One that
+// does not answer keeps the life that it showed last.
+func (t *Tracker) askPeers(ctx context.Context, entries []crank.Instance) map[string]Life {
+	old := t.View().Lives
+	type answer struct {
+		entry string
+		life  Life
+	}
+	answers := make(chan answer, len(entries))
+	for _, e := range entries {
+		go func() {
+			answers <- answer{entry: e.ID, life: t.askPeer(ctx, e, old[e.ID])}
+		}()
+	}
+	lives := make(map[string]Life, len(entries))
+	for range entries {
+		if a := <-answers; a.life.ID != "" {
+			lives[a.entry] = a.life
 		}
-		wg.Go(func() {
-			call, cancel := context.WithTimeout(ctx, crank.CallTimeout/2)
-			defer cancel()
-			status, err := t.Peers.Peer(e.Addr).Status(call)
-			if err != nil {
-				return
-			}
-			mu.Lock()
-			defer mu.Unlock()
-			lives[e.ID] = Life{ID: status.Instance, Seen: time.Now(), Status: status}
-		})
 	}
-	wg.Wait()
 	return lives
 }
 
+func (t *Tracker) askPeer(ctx context.Context, e crank.Instance, old Life) Life {
+	if e.ID == t.Self {
+		return Life{}
+	}
+	call, cancel := context.WithTimeout(ctx, crank.CallTimeout/2)
+	defer cancel()
+	status, err := t.Peers.Peer(e.Addr).Status(call)
+	if err != nil {
+		return old
+	}
+	return Life{ID: status.Instance, Seen: time.Now(), Status: status}
+}
+
 // lifeTimeout is how long a life counts as running after it last answered.
 const lifeTimeout = 3 * time.Second
 
--- a/internal/cranknode/node.go
+++ b/internal/cranknode/node.go
@@ -60,6 +60,8 @@
 	keeper    *crankkeep.Keeper
 	admission *admission
 	draining  atomic.Bool
+	waits     context.Context // ends when the node drains
+	stopWaits context.CancelFunc
 }
 
 // resultBuffer holds results that the writer has not looked at yet. Each batch
@@ -69,6 +71,7 @@
 // New returns a node. It works while Run runs.
 func New(c Config) *Node {
 	n := &Node{Config: c, life: c.Instance + "." + randomID(), box: crankbox.New(), admission: newAdmission()}
+	n.waits, n.stopWaits = context.WithCancel(context.Background())
 	n.members = crankmembers.NewTracker(crankmembers.Config{Self: c.Instance, List: c.List, Peers: c.Peers, Logger: c.Logger})
 	n.log = crankrelay.New(crankrelay.Config{Primary: c.Log, Peers: n.members.OtherPeers})
 	results := make(chan crankfold.BatchResult, resultBuffer)
@@ -95,6 +98,7 @@
 	})
 	n.keeper = crankkeep.New(crankkeep.Config{
 		Self:    c.Instance,
+		Log:     n.log,
 		Box:     n.box,
 		Writer:  n.writer,
 		Members: n.members.View,
@@ -109,7 +113,7 @@
 // what is under way is still recorded.
 func (n *Node) Run(ctx context.Context) error {
 	base := context.WithoutCancel(ctx)
-	n.Logger.Info("node: started", "instance", n.Instance, "life", n.life)
+	n.Logger.Info("node: started", "life", n.life)
 	lower, stopLower := context.WithCancel(base)
 	defer stopLower()
 	lowerDone := make(chan error, 1)
@@ -119,7 +123,7 @@
 	if lowerErr := <-lowerDone; err == nil {
 		err = lowerErr
 	}
-	n.Logger.Info("node: stopped", "instance", n.Instance)
+	n.Logger.Info("node: stopped")
 	return err
 }
 
@@ -133,9 +137,11 @@
 	return g.Run()
 }
 
-// Drain makes the node take no new requests and report that it is not ready.
+// Drain makes the node report that it is not ready, and ends the long waits of
+// its callers. Requests that still arrive are served.
 func (n *Node) Drain() {
 	n.draining.Store(true)
+	n.stopWaits()
 	n.Logger.Info("node: draining")
 }
 
@@ -172,7 +178,7 @@
 	return v.State, nil
 }
 
-const randomIDBytes = 8
+const randomIDBytes = 12
 
 func randomID() string {
 	var b [randomIDBytes]byte
--- a/internal/cranknode/operate.go
+++ b/internal/cranknode/operate.go
@@ -14,6 +14,7 @@
 // Confirmation says which entry instances have applied a change.
 type Confirmation struct {
 	Position crank.Position `json:"position"`
+	Accepted time.Time      `json:"accepted"`          // when this instance saw it accepted
 	Version  int            `json:"version,omitempty"` // of the configuration
 	Applied  []string       `json:"applied"`
 	Missing  []string       `json:"missing"`
@@ -59,7 +60,7 @@
 func (n *Node) confirm(ctx context.Context, p crank.Position) Confirmation {
 	call, cancel := context.WithTimeout(ctx, confirmWait)
 	defer cancel()
-	c := Confirmation{Position: p, Applied: []string{n.Instance}}
+	c := Confirmation{Position: p, Accepted: time.Now(), Applied: []string{n.Instance}}
 	waiting := make(map[string]crank.Peer)
 	for _, e := range n.members.View().Entries {
 		if e.ID != n.Instance {
@@ -91,14 +92,12 @@
 	return c
 }
 
-// Explain says why a job is where it is.
+// Explain says why a job is where it is. For a waiting job it makes a planning
+// round on this instance's state, without proposing anything.
 func (n *Node) Explain(j crankfold.Job) string {
 	switch j.State {
 	case crankfold.JobWaiting:
-		if reason := n.planner.WaitReason(j.Job); reason != "" {
-			return reason
-		}
-		return "it waits for the next planning round"
+		return n.explainWait(j)
 	case crankfold.JobPlaced:
 		return "its workers are being reserved by " + j.Attempt.Owner
 	case crankfold.JobRunning:
@@ -107,11 +106,17 @@
 	return j.Detail
 }
 
-// Leader reports whether this instance holds the planner's term, and the
-// guarantee cells that can't be claimed as its last round saw it.
-func (n *Node) Leader() (leads bool, atRisk []string) {
-	if n.State().Term.Instance != n.life {
-		return false, nil
+func (n *Node) explainWait(j crankfold.Job) string {
+	for _, w := range n.planner.Preview(n.State()).Waits {
+		if w.Job == j.Job {
+			return w.Reason
+		}
 	}
-	return true, n.planner.AtRisk()
+	return "it is placed in the next planning round"
 }
+
+// AtRisk returns the guarantee cells that can't be claimed now.
+func (n *Node) AtRisk() []string { return n.planner.Preview(n.State()).AtRisk }
+
+// Leads reports whether this instance holds the planner's term.
+func (n *Node) Leads() bool { return n.State().Term.Instance == n.life }
--- a/internal/cranknode/submit.go
+++ b/internal/cranknode/submit.go
@@ -35,9 +35,6 @@
 // Submit accepts a request. An error of KindUnknown means that the request may
 // have been accepted; any other error means that it was not.
 func (n *Node) Submit(ctx context.Context, r Request) (Ticket, error) {
-	if n.draining.Load() {
-		return Ticket{}, crank.Fail("submit", crank.KindUnavailable, "the instance is draining")
-	}
 	s, err := n.fresh("submit")
 	if err != nil {
 		return Ticket{}, err
@@ -123,8 +120,11 @@
 }
 
 // Wait returns a job once it has an outcome, or as it is when the context
-// ends. An error of KindUnavailable means that this instance can't tell.
+// ends or the node drains. An error of KindUnavailable means that this instance can't tell.
 func (n *Node) Wait(ctx context.Context, job string) (crankfold.Job, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	defer context.AfterFunc(n.waits, cancel)()
 	v, _ := n.box.Wait(ctx, func(v crankbox.View) bool {
 		j, ok := v.State.Job(job)
 		return !v.Stale() && (!ok || j.State == crankfold.JobEnded)
--- a/internal/crankplatform/list.go
+++ b/internal/crankplatform/list.go
@@ -5,7 +5,7 @@
 	"net/http"
 
 	crank "cranberrycrank"
-	"cranberrycrank/internal/crankwire"
+	"cranberrycrank/pkg/crankwire"
 )
 
 // List is the client of the platform's instance list.
--- a/internal/crankplatform/log.go
+++ b/internal/crankplatform/log.go
@@ -14,7 +14,7 @@
 	"time"
 
 	crank "cranberrycrank"
-	"cranberrycrank/internal/crankwire"
+	"cranberrycrank/pkg/crankwire"
 )
 
 // Log is the client of the platform's log.
--- a/internal/crankplatform/worker.go
+++ b/internal/crankplatform/worker.go
@@ -6,7 +6,7 @@
 	"sync"
 
 	crank "cranberrycrank"
-	"cranberrycrank/internal/crankwire"
+	"cranberrycrank/pkg/crankwire"
 )
 
 // Dialer returns workers by address and keeps one client for each.
--- a/internal/crankterm/round.go
+++ b/internal/crankterm/round.go
@@ -20,9 +20,8 @@
 	if !p.holds(s) || p.Box.View().Stale() {
 		return
 	}
-	decisions := p.Policy.Plan(p.round(s))
+	decisions := p.Policy.Plan(newRound(s, p.memory))
 	p.memory = decisions.Memory
-	p.published.set(decisions)
 	urgent, normal := p.records(s, decisions)
 	if len(urgent) > 0 {
 		p.propose(ctx, crankstream.PriorityHigh, urgent...)
@@ -32,6 +31,12 @@
 	}
 }
 
+// Preview returns what a round would decide on a state, without the memory of
+// earlier rounds.
+func (p *Planner) Preview(s crankfold.State) crank.Decisions {
+	return p.Policy.Plan(newRound(s, crank.Memory{}))
+}
+
 // records turns decisions into proposals, those of urgent jobs apart.
 func (p *Planner) records(s crankfold.State, d crank.Decisions) (urgent, normal []crankrecord.Record) {
 	term := s.Term.Number
@@ -62,9 +67,9 @@
 	return urgent, normal
 }
 
-// round builds the input of the policy from the state.
-func (p *Planner) round(s crankfold.State) crank.Round {
-	r := crank.Round{Now: time.Now(), Objective: s.Config.Objective, Memory: p.memory}
+// newRound builds the input of the policy from the state.
+func newRound(s crankfold.State, memory crank.Memory) crank.Round {
+	r := crank.Round{Now: time.Now(), Objective: s.Config.Objective, Memory: memory}
 	r.Workers, r.Whole = roundWorkers(s)
 	for _, j := range s.Waiting() {
 		r.Waiting = append(r.Waiting, roundJob(s, j))
--- a/internal/crankterm/term.go
+++ b/internal/crankterm/term.go
@@ -40,7 +40,6 @@
 type Planner struct {
 	Config
 	memory     crank.Memory
-	published  publisher
 	lastTerm   crankfold.Term
 	lastChange time.Time // when the term last showed a sign of life
 	lastPulse  time.Time
--- a/pkg/crankplan/cells.go
+++ b/pkg/crankplan/cells.go
@@ -134,3 +134,29 @@
 		c.parts = nil
 	}
 }
+
+// Unsatisfiable returns the cells of the workspaces' guarantees that find no
+// place on an idle fleet.
+func Unsatisfiable(workers []crank.RoundWorker, workspaces []crank.Workspace) []string {
+	r := crank.Round{Workers: workers}
+	sortWorkers(r.Workers)
+	for _, w := range workspaces {
+		r.Workspaces = append(r.Workspaces, crank.RoundWorkspace{Name: w.Name, Guarantees: w.Guarantees})
+	}
+	cells := freeCells(r)
+	bindCells(newFleet(r.Workers), cells, nil)
+	var missing []string
+	for _, c := range cells {
+		if c.parts == nil {
+			missing = append(missing, c.name)
+		}
+	}
+	return missing
+}
+
+// sortWorkers puts workers into the order of adjacency.
+func sortWorkers(workers []crank.RoundWorker) {
+	slices.SortFunc(workers, func(a, b crank.RoundWorker) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Rack, b.Rack), cmp.Compare(a.ID, b.ID))
+	})
+}
--- a/internal/crankwire/wire.go
+++ b/pkg/crankwire/wire.go
@@ -87,7 +87,8 @@
 	if err != nil {
 		return crank.Wrap(op, crank.KindInvalid, err)
 	}
-	data, _, err := c.Do(ctx, op, method, path, body, nil, crank.MaxAnswerBytes*2)
+	header := http.Header{"Content-Type": {"application/json"}}
+	data, _, err := c.Do(ctx, op, method, path, body, header, crank.MaxAnswerBytes*2)
 	if err != nil || out == nil {
 		return err
 	}
--- a/proofs/crankproof/cluster_test.go
+++ b/proofs/crankproof/cluster_test.go
@@ -22,33 +22,40 @@
 
 // cluster is a deployment in one process: entry instances over the stand-ins.
 type cluster struct {
-	t       *testing.T
-	log     *crankfakelog.Log
-	list    *crankfakelist.List
-	workers crankfakeworker.Set
-	mu      sync.Mutex
-	events  []crankfakeworker.Event
-	entries map[string]*entry
-	logger  *slog.Logger
+	t            *testing.T
+	log          *crankfakelog.Log
+	list         *crankfakelist.List
+	workers      crankfakeworker.Set
+	mu           sync.Mutex
+	history      *history
+	entries      map[string]*entry
+	logger       *slog.Logger
+	home         []string                  // identities of the instances that are to run
+	leaving      string                    // worker that leaves
+	pending      sync.WaitGroup            // what ends by itself
+	zonePosition map[string]crank.Position // of the last change that was noted
 }
 
 // entry is one life of an entry instance and what cuts it off.
 type entry struct {
-	node    *cranknode.Node
-	cutLog  *cutLog
-	cutWork *cutWorkers
-	stop    context.CancelFunc
-	done    chan struct{}
+	node   *cranknode.Node
+	toLog  *gate
+	toWork *gate
+	log    crank.Log
+	stop   context.CancelFunc
+	done   chan struct{}
 }
 
 func newCluster(t *testing.T, config crank.Config) *cluster {
 	c := &cluster{
-		t:       t,
-		log:     crankfakelog.New(crankfakelog.Config{}),
-		list:    crankfakelist.New(crankfakelist.Config{Lag: time.Second}),
-		workers: crankfakeworker.Set{},
-		entries: map[string]*entry{},
-		logger:  slog.New(slog.NewTextHandler(io.Discard, nil)),
+		t:            t,
+		log:          crankfakelog.New(crankfakelog.Config{}),
+		list:         crankfakelist.New(crankfakelist.Config{Lag: time.Second}),
+		workers:      crankfakeworker.Set{},
+		history:      newHistory(),
+		zonePosition: map[string]crank.Position{},
+		entries:      map[string]*entry{},
+		logger:       slog.New(slog.NewTextHandler(io.Discard, nil)),
 	}
 	if os.Getenv("CRANK_TEST_LOG") != "" {
 		c.logger = slog.New(slog.NewTextHandler(os.Stderr, nil))
@@ -73,38 +80,20 @@
 	for i := range n {
 		id := fmt.Sprintf("%s-w%d", zone, i)
 		capacity := crank.Resources{Accelerators: 8, Cores: 60, MemoryMiB: 1 << 18, Slots: 8}
-		c.workers[id] = crankfakeworker.New(crankfakeworker.Config{ID: id, Epoch: "1", Capacity: capacity, Observe: c.observe})
+		c.workers[id] = crankfakeworker.New(crankfakeworker.Config{ID: id, Epoch: "1", Capacity: capacity, Observe: func(e crankfakeworker.Event) { c.history.observe(zone, e) }})
 		c.list.Put(crank.Instance{ID: id, Role: crank.RoleWorker, Addr: id, Zone: zone, Rack: fmt.Sprintf("%s-r%d", zone, i/2), Epoch: "1", Capacity: capacity})
 	}
 }
 
-func (c *cluster) observe(e crankfakeworker.Event) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.events = append(c.events, e)
-}
-
-// starts returns the starts that the workers saw.
-func (c *cluster) starts() []crankfakeworker.Event {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var list []crankfakeworker.Event
-	for _, e := range c.events {
-		if e.Kind == crankfakeworker.EventStart {
-			list = append(list, e)
-		}
-	}
-	return list
-}
-
 // startEntry starts a new life of an entry instance.
 func (c *cluster) startEntry(id string) *entry {
-	e := &entry{cutLog: &cutLog{Log: c.log}, cutWork: &cutWorkers{workers: c.workers}, done: make(chan struct{})}
+	e := &entry{toLog: &gate{}, toWork: &gate{}, done: make(chan struct{})}
+	e.log = &gatedLog{gate: e.toLog, log: c.log}
 	e.node = cranknode.New(cranknode.Config{
 		Instance:       id,
-		Log:            e.cutLog,
+		Log:            e.log,
 		List:           c.list,
-		Workers:        e.cutWork,
+		Workers:        &gatedWorkers{gate: e.toWork, workers: c.workers},
 		Peers:          c,
 		Policy:         crankplan.NewGuarded(),
 		Logger:         c.logger.With("instance", id),
@@ -129,8 +118,10 @@
 	e := c.entries[id]
 	delete(c.entries, id)
 	c.mu.Unlock()
-	e.cutLog.set(true)
-	e.cutWork.set(true)
+	e.toLog.setCut(true)
+	e.toWork.setCut(true)
+	e.toLog.thaw()
+	e.toWork.thaw()
 	c.list.Remove(id)
 	e.stop()
 	<-e.done
@@ -182,7 +173,7 @@
 	if err != nil {
 		return 0, err
 	}
-	return e.cutLog.Append(ctx, s, data)
+	return e.log.Append(ctx, s, data)
 }
 
 func (p *localPeer) Read(ctx context.Context, s crank.Stream, from crank.Offset, limit int, wait time.Duration) (crank.Batch, error) {
@@ -190,67 +181,7 @@
 	if err != nil {
 		return crank.Batch{}, err
 	}
-	return e.cutLog.Read(ctx, s, from, limit, wait)
-}
-
-// cutLog is one instance's way to the log, which can be cut.
-type cutLog struct {
-	crank.Log
-	mu  sync.Mutex
-	cut bool
-}
-
-func (l *cutLog) set(cut bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.cut = cut
-}
-
-func (l *cutLog) isCut() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.cut
-}
-
-func (l *cutLog) Append(ctx context.Context, s crank.Stream, data []byte) (crank.Offset, error) {
-	if l.isCut() {
-		return 0, crank.Fail("log append", crank.KindUnavailable, "cut off")
-	}
-	return l.Log.Append(ctx, s, data)
-}
-
-func (l *cutLog) Read(ctx context.Context, s crank.Stream, from crank.Offset, limit int, wait time.Duration) (crank.Batch, error) {
-	if l.isCut() {
-		return crank.Batch{}, crank.Fail("log read", crank.KindUnavailable, "cut off")
-	}
-	b, err := l.Log.Read(ctx, s, from, limit, wait)
-	if l.isCut() {
-		return crank.Batch{}, crank.Fail("log read", crank.KindUnavailable, "cut off")
-	}
-	return b, err
-}
-
-// cutWorkers is one instance's way to the workers, which can be cut.
-type cutWorkers struct {
-	workers crankfakeworker.Set
-	mu      sync.Mutex
-	cut     bool
-}
-
-func (w *cutWorkers) set(cut bool) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.cut = cut
-}
-
-// Worker implements crank.WorkerDialer.
-func (w *cutWorkers) Worker(addr string) crank.Worker {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.cut {
-		return crankfakeworker.Set{}.Worker(addr)
-	}
-	return w.workers.Worker(addr)
+	return e.log.Read(ctx, s, from, limit, wait)
 }
 
 // submit sends a request until an instance gives a definite answer.
--- a/standin/cmd/crankstandin/main.go
+++ b/standin/cmd/crankstandin/main.go
@@ -15,7 +15,7 @@
 	"time"
 
 	crank "cranberrycrank"
-	"cranberrycrank/internal/crankwire"
+	"cranberrycrank/pkg/crankwire"
 	"cranberrycrank/standin/crankfakehttp"
 	"cranberrycrank/standin/crankfakelist"
 	"cranberrycrank/standin/crankfakelog"
--- a/standin/crankfakehttp/serve.go
+++ b/standin/crankfakehttp/serve.go
@@ -10,7 +10,7 @@
 	"time"
 
 	crank "cranberrycrank"
-	"cranberrycrank/internal/crankwire"
+	"cranberrycrank/pkg/crankwire"
 	"cranberrycrank/standin/crankfakelist"
 )
 
--- a/standin/crankfakelist/list.go
+++ b/standin/crankfakelist/list.go
@@ -22,6 +22,7 @@
 	mu      sync.Mutex
 	current map[string]crank.Instance
 	shown   map[string]crank.Instance
+	changes []func() // not shown yet, oldest first
 	down    bool
 }
 
@@ -82,15 +83,18 @@
 	return sorted(l.shown), nil
 }
 
+// later shows a change after the lag, in the order of the changes.
 func (l *List) later(change func()) {
 	if l.config.Lag == 0 {
 		change()
 		return
 	}
+	l.changes = append(l.changes, change)
 	time.AfterFunc(l.config.Lag, func() {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		change()
+		l.changes[0]()
+		l.changes = l.changes[1:]
 	})
 }
 
