Choose places by the room that they leave, and keep guarantees claimable

Cause: measured against best fit, the guarded policy left its free accelerators unusable at the design size, let urgent work wait behind urgent work (Lagos: 1085 s at p99.9), and missed claims.

The rest of a claimed cell is kept, and a cell that had a place never loses it to another.

--- a/pkg/crankplan/cells.go
+++ b/pkg/crankplan/cells.go
@@ -19,18 +19,13 @@
 // freeCells returns the cells that no attempt claims, the hardest to place
 // first.
 func freeCells(r crank.Round) []*cell {
-	claimed := make(map[string]bool)
-	for _, a := range r.Active {
-		if a.Cell != "" {
-			claimed[a.Cell] = true
-		}
-	}
+	claimed := claimedCells(r)
 	var cells []*cell
 	for _, w := range r.Workspaces {
 		for g, guarantee := range w.Guarantees {
 			for n := range guarantee.Cells {
-				name := fmt.Sprintf("%s/%d/%d", w.Name, g, n)
-				if !claimed[name] {
+				name := cellName(w.Name, g, n)
+				if _, ok := claimed[name]; !ok {
 					cells = append(cells, &cell{name: name, workspace: w.Name, shape: guarantee.Shape})
 				}
 			}
@@ -42,6 +37,49 @@
 	return cells
 }
 
+// claimedCells returns the attempts that claim cells, by cell.
+func claimedCells(r crank.Round) map[string]crank.RoundAttempt {
+	claimed := make(map[string]crank.RoundAttempt)
+	for _, a := range r.Active {
+		if a.Cell != "" {
+			claimed[a.Cell] = a
+		}
+	}
+	return claimed
+}
+
+// holdClaimed keeps for every claimed cell what its claim leaves unused, so
+// that the cell is whole again when the claim ends.
+func holdClaimed(f *fleet, r crank.Round) {
+	claimed := claimedCells(r)
+	for _, w := range r.Workspaces {
+		for g, guarantee := range w.Guarantees {
+			for n := range guarantee.Cells {
+				a, ok := claimed[cellName(w.Name, g, n)]
+				if !ok {
+					continue
+				}
+				f.hold(f.known(a.Parts), guarantee.Shape.PerTask.Minus(a.Shape.PerTask), 1)
+			}
+		}
+	}
+}
+
+// known returns the parts at workers that the fleet has.
+func (f *fleet) known(parts []crank.Part) []crank.Part {
+	var list []crank.Part
+	for _, p := range parts {
+		if _, ok := f.index[p.Worker]; ok {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func cellName(workspace string, guarantee, cell int) string {
+	return fmt.Sprintf("%s/%d/%d", workspace, guarantee, cell)
+}
+
 // hardness orders shapes by how many accelerators must be adjacent.
 func hardness(s crank.Shape) int {
 	return s.Total().Accelerators*16 + s.PerTask.Accelerators
@@ -49,7 +87,8 @@
 
 // bindCells finds a place for every free cell at once, on what is free or may
 // be stopped. A place of the round before is kept while it holds; when that
-// leaves a cell without a place, all are placed anew.
+// leaves a cell without a place, all are placed anew, if none loses its place
+// by that.
 func bindCells(f *fleet, cells []*cell, memory []crank.Binding) {
 	known := make(map[string][]crank.Part, len(memory))
 	for _, b := range memory {
@@ -67,7 +106,7 @@
 		}
 		unbind(f, c)
 	}
-	if bindPass(f, cells, nil) < missing {
+	if bindPass(f, cells, nil) < missing && allBound(cells, kept) {
 		return
 	}
 	for i, c := range cells {
@@ -78,6 +117,16 @@
 	}
 }
 
+// allBound reports whether every cell that had a place has one again.
+func allBound(cells []*cell, kept [][]crank.Part) bool {
+	for i, c := range cells {
+		if kept[i] != nil && c.parts == nil {
+			return false
+		}
+	}
+	return true
+}
+
 // bindPass binds what it can and returns how many cells have no place.
 func bindPass(f *fleet, cells []*cell, known map[string][]crank.Part) (missing int) {
 	for _, c := range cells {
--- a/pkg/crankplan/fit.go
+++ b/pkg/crankplan/fit.go
@@ -43,6 +43,9 @@
 
 // bestWorker finds the worker with the fewest accelerators left over.
 func (s *search) bestWorker() []crank.Part {
+	if s.fleet.scores != nil {
+		return s.fleet.scores.bestWorker(s)
+	}
 	total := s.shape.Total()
 	best, least := -1, 0
 	for i := range s.fleet.workers {
@@ -66,6 +69,9 @@
 
 // bestDomain finds the domain with the fewest accelerators left over.
 func (s *search) bestDomain(domains []domain) []crank.Part {
+	if s.fleet.scores != nil {
+		return s.fleet.scores.bestDomain(s, domains)
+	}
 	need := s.shape.Total().Accelerators
 	best, least := -1, 0
 	for n, d := range domains {
--- a/pkg/crankplan/fleet.go
+++ b/pkg/crankplan/fleet.go
@@ -7,7 +7,8 @@
 // fleet is the working copy of a round's workers.
 //
 // For worker i, free[i] is what is free now, soft[i] adds what tasks hold that
-// may be stopped for a guarantee, and held[i] is kept for free cells. A
+// may be stopped for a guarantee, mild[i] adds of these only patient ones, and
+// held[i] is kept for free cells. A
 // placement that can't be stopped must leave soft[i] covering held[i].
 type fleet struct {
 	workers []crank.RoundWorker
@@ -15,8 +16,12 @@
 	racks   []domain
 	zones   []domain
 	all     []domain
+	rackOf  []int     // rack of a worker
+	zoneOf  []int     // availability zone of a worker
+	scores  *gradient // nil when places are not scored
 	free    []crank.Resources
 	soft    []crank.Resources
+	mild    []crank.Resources
 	held    []crank.Resources
 	closed  []string // job that a worker is held for, or ""
 }
@@ -31,6 +36,7 @@
 		index:   make(map[string]int, n),
 		free:    make([]crank.Resources, n),
 		soft:    make([]crank.Resources, n),
+		mild:    make([]crank.Resources, n),
 		held:    make([]crank.Resources, n),
 		closed:  make([]string, n),
 		all:     []domain{{0, n}},
@@ -40,6 +46,7 @@
 		if w.InService {
 			f.free[i] = w.Free
 			f.soft[i] = w.Free
+			f.mild[i] = w.Free
 		}
 		if i == 0 || w.Zone != workers[i-1].Zone {
 			f.zones = append(f.zones, domain{i, i})
@@ -47,6 +54,8 @@
 		if i == 0 || w.Zone != workers[i-1].Zone || w.Rack != workers[i-1].Rack {
 			f.racks = append(f.racks, domain{i, i})
 		}
+		f.rackOf = append(f.rackOf, len(f.racks)-1)
+		f.zoneOf = append(f.zoneOf, len(f.zones)-1)
 		f.zones[len(f.zones)-1].to = i + 1
 		f.racks[len(f.racks)-1].to = i + 1
 	}
@@ -57,7 +66,11 @@
 func (f *fleet) addBorrower(a crank.RoundAttempt) {
 	for _, p := range a.Parts {
 		if i, ok := f.index[p.Worker]; ok && f.workers[i].InService {
-			f.soft[i] = f.soft[i].Plus(a.Shape.PerTask.Times(p.Tasks))
+			amount := a.Shape.PerTask.Times(p.Tasks)
+			f.soft[i] = f.soft[i].Plus(amount)
+			if a.Class != crank.ClassUrgent {
+				f.mild[i] = f.mild[i].Plus(amount)
+			}
 		}
 	}
 }
@@ -67,7 +80,8 @@
 	for _, p := range parts {
 		i := f.index[p.Worker]
 		need := per.Times(p.Tasks)
-		f.free[i] = f.free[i].Minus(need)
+		f.setFree(i, f.free[i].Minus(need))
+		f.mild[i] = f.mild[i].Minus(need)
 		if !borrower {
 			f.soft[i] = f.soft[i].Minus(need)
 		}
@@ -78,11 +92,40 @@
 func (f *fleet) release(a crank.RoundAttempt) {
 	for _, p := range a.Parts {
 		if i, ok := f.index[p.Worker]; ok && f.workers[i].InService {
-			f.free[i] = f.free[i].Plus(a.Shape.PerTask.Times(p.Tasks))
+			f.setFree(i, f.free[i].Plus(a.Shape.PerTask.Times(p.Tasks)))
 		}
 	}
 }
 
+func (f *fleet) setFree(i int, free crank.Resources) {
+	before := f.free[i]
+	f.free[i] = free
+	if f.scores != nil {
+		f.scores.changed(i, before)
+	}
+}
+
+// domainOf returns the index of the domain of a span that holds worker i.
+func (f *fleet) domainOf(s crank.Span, i int) int {
+	switch s {
+	case crank.SpanWorker:
+		return i
+	case crank.SpanRack:
+		return f.rackOf[i]
+	case crank.SpanZone:
+		return f.zoneOf[i]
+	default:
+		return 0
+	}
+}
+
+func (f *fleet) domainCount(s crank.Span) int {
+	if s == crank.SpanWorker {
+		return len(f.workers)
+	}
+	return len(f.domains(s))
+}
+
 // hold keeps parts for a cell; with n = -1 it gives them back.
 func (f *fleet) hold(parts []crank.Part, per crank.Resources, n int) {
 	for _, p := range parts {
@@ -98,6 +141,7 @@
 	viewFree     view = iota // what is free, also where cells are held
 	viewSafe                 // what is free and not held for cells
 	viewSoft                 // what is free or may be stopped, and not held for cells
+	viewMild                 // the same, counting only patient work as what may be stopped
 	viewCapacity             // everything, in service or not
 )
 
@@ -110,6 +154,8 @@
 		return lesser(f.free[i], f.soft[i].Minus(f.held[i]))
 	case viewSoft:
 		return f.soft[i].Minus(f.held[i])
+	case viewMild:
+		return lesser(f.mild[i], f.soft[i].Minus(f.held[i]))
 	default:
 		return f.workers[i].Capacity
 	}
--- a/pkg/crankplan/guarded.go
+++ b/pkg/crankplan/guarded.go
@@ -26,11 +26,12 @@
 type Guarded struct {
 	HoldAfter  time.Duration // wait of a blocked job before workers are held for it
 	AgingBound time.Duration // wait after which patient work goes by submission
+	Scored     bool          // places are chosen by the room that they leave for other gangs
 }
 
 // NewGuarded returns the policy with its defaults.
 func NewGuarded() Guarded {
-	return Guarded{HoldAfter: DefaultHoldAfter, AgingBound: DefaultAgingBound}
+	return Guarded{HoldAfter: DefaultHoldAfter, AgingBound: DefaultAgingBound, Scored: true}
 }
 
 // WithHoldAfter returns the policy with another wait before workers are held.
@@ -39,6 +40,12 @@
 	return g
 }
 
+// WithScored returns the policy with or without scored places.
+func (g Guarded) WithScored(scored bool) Guarded {
+	g.Scored = scored
+	return g
+}
+
 // round is the working state of one planning round.
 type round struct {
 	crank.Round
@@ -47,7 +54,7 @@
 	cells     []*cell
 	borrowers *borrowers
 	quota     quotas
-	fits      map[fitKey]bool
+	fits      map[crank.Shape]bool       // whether a gang fits on an idle fleet
 	blocked   map[blockKey]time.Duration // shortest run time of a job that found no place
 	drains    map[string]time.Duration   // until held workers are free, by the job they are held for
 	remaining map[string]time.Duration   // until a worker's last attempt ends, by worker
@@ -60,12 +67,6 @@
 	view  view
 }
 
-// fitKey names a look for whether a job could ever run.
-type fitKey struct {
-	shape     crank.Shape
-	workspace string
-}
-
 // Plan implements crank.Policy.
 func (g Guarded) Plan(in crank.Round) crank.Decisions {
 	r := &round{
@@ -74,7 +75,7 @@
 		fleet:     newFleet(in.Workers),
 		borrowers: newBorrowers(in),
 		quota:     newQuotas(in),
-		fits:      make(map[fitKey]bool),
+		fits:      make(map[crank.Shape]bool),
 		blocked:   make(map[blockKey]time.Duration),
 		drains:    make(map[string]time.Duration),
 	}
@@ -83,11 +84,15 @@
 			r.fleet.addBorrower(a)
 		}
 	}
+	holdClaimed(r.fleet, in)
 	r.cells = freeCells(in)
 	bindCells(r.fleet, r.cells, in.Memory.Bindings)
+	if g.Scored {
+		r.fleet.scores = newGradient(r.fleet, in)
+	}
 	r.evictDraining()
 	r.restoreHolds()
-	for _, j := range g.order(in, r.quota) {
+	for _, j := range claimantsFirst(g.order(in, r.quota), r.cells) {
 		r.try(j.job)
 	}
 	r.remember()
@@ -139,13 +144,12 @@
 }
 
 func (r *round) neverRuns(j crank.RoundJob) bool {
-	key := fitKey{shape: j.Shape, workspace: j.Workspace}
-	fits, known := r.fits[key]
+	fits, known := r.fits[j.Shape]
 	if !known {
-		fits = never(r.fleet, r.quota, j) == ""
-		r.fits[key] = fits
+		fits = everFits(r.fleet, j.Shape)
+		r.fits[j.Shape] = fits
 	}
-	if fits || !r.Whole {
+	if !r.Whole || (fits && !r.quota.tooLarge(j)) {
 		return false
 	}
 	r.decisions.Refuse = append(r.decisions.Refuse, crank.Refusal{Job: j.ID, Reason: never(r.fleet, r.quota, j)})
@@ -201,24 +205,39 @@
 	}
 	bound := c.parts
 	unbind(r.fleet, c)
-	s := search{fleet: r.fleet, view: viewSafe, shape: j.Shape, job: j.ID, open: always}
+	s := search{fleet: r.fleet, view: viewSafe, shape: c.shape, job: j.ID, open: always}
 	if parts := s.best(); parts != nil {
-		r.dropCell(c)
-		r.place(j, crank.Placement{Parts: parts, Cell: c.name}, false)
+		r.placeClaim(j, c, crank.Placement{Parts: parts})
 		return true
 	}
-	parts := shrink(bound, j.Shape.Tasks)
-	victims, ok := r.borrowers.victims(r.fleet, parts, j.Shape.PerTask, anyBorrower)
+	parts, victims, ok := r.cheapest(cellJob(j, c), viewSoft, anyBorrower)
+	if !ok {
+		parts = bound
+		victims, ok = r.borrowers.victims(r.fleet, parts, j.Shape.PerTask, anyBorrower)
+	}
 	if !ok {
 		bind(r.fleet, c, bound)
 		return false
 	}
-	r.dropCell(c)
-	evicts := r.borrowers.evict(r.fleet, victims)
-	r.place(j, crank.Placement{Parts: parts, Cell: c.name, Evicts: evicts}, false)
+	r.placeClaim(j, c, crank.Placement{Parts: parts, Evicts: r.borrowers.evict(r.fleet, victims)})
 	return true
 }
 
+// cellJob is a job that needs the whole shape of the cell that it claims.
+func cellJob(j crank.RoundJob, c *cell) crank.RoundJob {
+	j.Shape = c.shape
+	return j
+}
+
+// placeClaim places a claim and keeps what it leaves unused of its cell.
+func (r *round) placeClaim(j crank.RoundJob, c *cell, p crank.Placement) {
+	p.Cell = c.name
+	r.dropCell(c)
+	r.place(j, p, false)
+	r.fleet.hold(p.Parts, c.shape.PerTask.Minus(j.Shape.PerTask), 1)
+	r.decisions.Memory.Bindings = append(r.decisions.Memory.Bindings, crank.Binding{Cell: c.name, Parts: p.Parts})
+}
+
 // cellFor returns the smallest bound cell that the job can claim.
 func (r *round) cellFor(j crank.RoundJob) *cell {
 	var best *cell
@@ -242,38 +261,21 @@
 	}
 }
 
-// shrink returns the first parts that hold a number of tasks.
-func shrink(parts []crank.Part, tasks int) []crank.Part {
-	var out []crank.Part
-	for _, p := range parts {
-		p.Tasks = min(p.Tasks, tasks)
-		if p.Tasks > 0 {
-			out = append(out, p)
-		}
-		tasks -= p.Tasks
-	}
-	return out
-}
-
 // reclaim lets an urgent job take what patient borrowers hold, outside the
 // held cells.
 func (r *round) reclaim(j crank.RoundJob) bool {
-	key := blockKey{shape: j.Shape, view: viewSoft}
+	key := blockKey{shape: j.Shape, view: viewMild}
 	if _, blocked := r.blocked[key]; blocked || j.Class != crank.ClassUrgent {
 		return false
 	}
-	s := search{fleet: r.fleet, view: viewSoft, shape: j.Shape, job: j.ID, open: always}
-	parts := s.best()
-	if parts != nil {
-		victims, ok := r.borrowers.victims(r.fleet, parts, j.Shape.PerTask, patientBorrower)
-		if ok {
-			evicts := r.borrowers.evict(r.fleet, victims)
-			r.place(j, crank.Placement{Parts: parts, Evicts: evicts}, j.Stoppable)
-			return true
-		}
+	parts, victims, ok := r.cheapest(j, viewMild, patientBorrower)
+	if !ok {
+		r.blocked[key] = 0
+		return false
 	}
-	r.blocked[key] = 0
-	return false
+	evicts := r.borrowers.evict(r.fleet, victims)
+	r.place(j, crank.Placement{Parts: parts, Evicts: evicts}, j.Stoppable)
+	return true
 }
 
 // place records a placement. A borrower may be stopped later.
@@ -291,6 +293,9 @@
 
 // remember writes down what the next round should know.
 func (r *round) remember() {
+	for name, a := range claimedCells(r.Round) {
+		r.decisions.Memory.Bindings = append(r.decisions.Memory.Bindings, crank.Binding{Cell: name, Parts: a.Parts})
+	}
 	for _, c := range r.cells {
 		if c.parts == nil {
 			r.decisions.AtRisk = append(r.decisions.AtRisk, c.name)
--- a/pkg/crankplan/holds.go
+++ b/pkg/crankplan/holds.go
@@ -191,8 +191,8 @@
 }
 
 // placeHeld starts a job on the workers held for it by moving the last
-// attempts off, when all of those can move and hold no more accelerators than
-// the job needs.
+// attempts off, when all of those can move and are small against the job. Since
+// only a larger job moves smaller ones, two jobs never move each other in turn.
 func (r *round) placeHeld(j crank.RoundJob) bool {
 	held := r.heldFor(j.ID)
 	if held == nil {
@@ -210,7 +210,7 @@
 		return false
 	}
 	victims, ok := r.borrowers.victims(r.fleet, parts, j.Shape.PerTask, movable)
-	if !ok || r.area(victims) > j.Shape.Total().Accelerators {
+	if !ok || r.area(victims)*moveGain > j.Shape.Total().Accelerators {
 		return false
 	}
 	evicts := r.borrowers.evict(r.fleet, victims)
--- a/pkg/crankplan/order.go
+++ b/pkg/crankplan/order.go
@@ -45,6 +45,39 @@
 	return jobs
 }
 
+// claimantsFirst moves patient jobs that can claim a free cell ahead of other
+// patient jobs, one for each cell: what others borrow in this round could not
+// be stopped for them in the same round.
+func claimantsFirst(jobs []ranked, cells []*cell) []ranked {
+	taken := make(map[string]bool, len(cells))
+	var urgent, claimants, others []ranked
+	for _, j := range jobs {
+		c := claimable(j.job, cells, taken)
+		switch {
+		case j.class == 0:
+			urgent = append(urgent, j)
+		case c != nil:
+			claimants = append(claimants, j)
+		default:
+			others = append(others, j)
+		}
+		if c != nil {
+			taken[c.name] = true
+		}
+	}
+	return slices.Concat(urgent, claimants, others)
+}
+
+// claimable returns a bound cell that a job can claim and that is not taken.
+func claimable(j crank.RoundJob, cells []*cell, taken map[string]bool) *cell {
+	for _, c := range cells {
+		if c.parts != nil && c.workspace == j.Workspace && !taken[c.name] && j.Shape.Within(c.shape) {
+			return c
+		}
+	}
+	return nil
+}
+
 // ratio is the response ratio of a job: it grows with the wait, and faster for
 // a job that needs fewer accelerators for a shorter time.
 func ratio(j crank.RoundJob, wait time.Duration) float64 {
--- a/pkg/crankplan/quota.go
+++ b/pkg/crankplan/quota.go
@@ -26,13 +26,24 @@
 
 func (q quotas) add(j crank.RoundJob) { q.used[j.Workspace] += j.Shape.Total().Accelerators }
 
+// tooLarge reports whether a job alone exceeds its workspace's quota.
+func (q quotas) tooLarge(j crank.RoundJob) bool {
+	limit := q.limit[j.Workspace]
+	return limit > 0 && j.Shape.Total().Accelerators > limit
+}
+
+// everFits reports whether a gang fits on an idle fleet in full service.
+func everFits(f *fleet, shape crank.Shape) bool {
+	s := search{fleet: f, view: viewCapacity, shape: shape}
+	return s.first() != nil
+}
+
 // never returns why a job can't run even on an idle fleet in full service.
 func never(f *fleet, q quotas, j crank.RoundJob) string {
-	if limit := q.limit[j.Workspace]; limit > 0 && j.Shape.Total().Accelerators > limit {
+	if q.tooLarge(j) {
 		return reasonOverQuota
 	}
-	s := search{fleet: f, view: viewCapacity, shape: j.Shape}
-	if s.best() == nil {
+	if !everFits(f, j.Shape) {
 		return reasonNeverFits
 	}
 	return ""
--- a/pkg/crankplan/reclaim.go
+++ b/pkg/crankplan/reclaim.go
@@ -10,20 +10,37 @@
 
 // borrowers are the attempts that may be stopped, by worker.
 type borrowers struct {
-	now      time.Time
-	byWorker map[string][]int
+	byWorker map[string][]tenant // by the work that their end loses, least first
 	attempts []crank.RoundAttempt
 	evicted  map[int]bool
+	losses   []float64 // by attempt
+}
+
+// tenant is a part of an attempt at a worker.
+type tenant struct {
+	attempt int
+	uses    crank.Resources
 }
 
 func newBorrowers(r crank.Round) *borrowers {
-	b := &borrowers{now: r.Now, byWorker: make(map[string][]int), attempts: r.Active, evicted: make(map[int]bool)}
+	b := &borrowers{
+		byWorker: make(map[string][]tenant, len(r.Workers)),
+		attempts: r.Active,
+		evicted:  make(map[int]bool),
+		losses:   make([]float64, len(r.Active)),
+	}
+	order := make([]int, 0, len(r.Active))
 	for n, a := range r.Active {
-		if !borrows(a) {
-			continue
+		if borrows(a) {
+			b.losses[n] = loss(a, r.Now)
+			order = append(order, n)
 		}
+	}
+	slices.SortStableFunc(order, func(x, y int) int { return cmp.Compare(b.losses[x], b.losses[y]) })
+	for _, n := range order {
+		a := r.Active[n]
 		for _, p := range a.Parts {
-			b.byWorker[p.Worker] = append(b.byWorker[p.Worker], n)
+			b.byWorker[p.Worker] = append(b.byWorker[p.Worker], tenant{n, a.Shape.PerTask.Times(p.Tasks)})
 		}
 	}
 	return b
@@ -34,36 +51,41 @@
 
 // loss is the work that stopping an attempt throws away, in accelerator
 // seconds. An attempt that can move loses little.
-func (b *borrowers) loss(n int) float64 {
-	a := b.attempts[n]
+func loss(a crank.RoundAttempt, now time.Time) float64 {
 	area := float64(max(1, a.Shape.Total().Accelerators))
+	if a.Class == crank.ClassUrgent {
+		area *= urgentLoss
+	}
 	if a.Movable {
 		return area
 	}
-	return b.now.Sub(a.Placed).Seconds()*area + area
+	return now.Sub(a.Placed).Seconds()*area + area
 }
 
 // victims returns attempts whose end makes room for parts, those that lose the
 // least work, or false when there are not enough that may be stopped.
-func (b *borrowers) victims(f *fleet, parts []crank.Part, per crank.Resources, may func(crank.RoundAttempt) bool) ([]int, bool) {
-	chosen := make(map[int]bool)
-	var list []int
+func (b *borrowers) victims(f *fleet, parts []crank.Part, per crank.Resources, may func(crank.RoundAttempt) bool) (list []int, ok bool) {
 	for _, p := range parts {
 		need := per.Times(p.Tasks)
 		have := f.free[f.index[p.Worker]]
-		for _, n := range list {
-			have = have.Plus(b.usedAt(n, p.Worker))
-		}
 		if have.Covers(need) {
 			continue
 		}
-		for _, n := range b.candidates(p.Worker, chosen, may) {
-			chosen[n] = true
-			list = append(list, n)
-			have = have.Plus(b.usedAt(n, p.Worker))
+		tenants := b.byWorker[p.Worker]
+		for _, t := range tenants {
+			if slices.Contains(list, t.attempt) {
+				have = have.Plus(t.uses)
+			}
+		}
+		for _, t := range tenants {
 			if have.Covers(need) {
 				break
 			}
+			if b.evicted[t.attempt] || slices.Contains(list, t.attempt) || !may(b.attempts[t.attempt]) {
+				continue
+			}
+			list = append(list, t.attempt)
+			have = have.Plus(t.uses)
 		}
 		if !have.Covers(need) {
 			return nil, false
@@ -72,25 +94,55 @@
 	return list, true
 }
 
-func (b *borrowers) candidates(worker string, chosen map[int]bool, may func(crank.RoundAttempt) bool) []int {
-	var list []int
-	for _, n := range b.byWorker[worker] {
-		if !chosen[n] && !b.evicted[n] && may(b.attempts[n]) {
-			list = append(list, n)
+// cheapest returns a place for a job and the attempts to evict there. For a job
+// that one worker can hold it is the place that loses the least work, for a
+// wider one the tightest place.
+func (r *round) cheapest(j crank.RoundJob, v view, may func(crank.RoundAttempt) bool) (parts []crank.Part, victims []int, ok bool) {
+	total := j.Shape.Total()
+	least := 0.0
+	for i, w := range r.fleet.workers {
+		if !r.fleet.avail(v, i).Covers(total) {
+			continue
 		}
+		if ok && !r.fleet.free[i].Covers(total) && r.borrowers.leastLoss(w.ID) >= least {
+			continue
+		}
+		here := []crank.Part{{Worker: w.ID, Tasks: j.Shape.Tasks}}
+		list, possible := r.borrowers.victims(r.fleet, here, j.Shape.PerTask, may)
+		if lost := r.borrowers.lossOf(list); possible && (!ok || lost < least) {
+			parts, victims, ok, least = here, list, true, lost
+		}
+		if ok && least == 0 {
+			break
+		}
+	}
+	if ok || j.Shape.Span == crank.SpanWorker {
+		return parts, victims, ok
 	}
-	slices.SortStableFunc(list, func(x, y int) int { return cmp.Compare(b.loss(x), b.loss(y)) })
-	return list
+	s := search{fleet: r.fleet, view: v, shape: j.Shape, job: j.ID, open: always}
+	if parts = s.best(); parts == nil {
+		return nil, nil, false
+	}
+	victims, ok = r.borrowers.victims(r.fleet, parts, j.Shape.PerTask, may)
+	return parts, victims, ok
 }
 
-func (b *borrowers) usedAt(n int, worker string) crank.Resources {
-	a := b.attempts[n]
-	for _, p := range a.Parts {
-		if p.Worker == worker {
-			return a.Shape.PerTask.Times(p.Tasks)
+// leastLoss returns a lower bound of the work lost by evicting at a worker.
+func (b *borrowers) leastLoss(worker string) float64 {
+	for _, t := range b.byWorker[worker] {
+		if !b.evicted[t.attempt] {
+			return b.losses[t.attempt]
 		}
 	}
-	return crank.Resources{}
+	return 0
+}
+
+func (b *borrowers) lossOf(list []int) float64 {
+	total := 0.0
+	for _, n := range list {
+		total += b.losses[n]
+	}
+	return total
 }
 
 // evict takes attempts out of the fleet and returns their identities.
--- a/resources.go
+++ b/resources.go
@@ -64,9 +64,10 @@
 // Total returns what the whole gang needs.
 func (s Shape) Total() Resources { return s.PerTask.Times(s.Tasks) }
 
-// Within reports whether a gang of shape s can use a cell of shape cell.
+// Within reports whether a gang of shape s can claim a cell of shape cell. It
+// must have as many tasks: the rest of a larger cell would be lost to others.
 func (s Shape) Within(cell Shape) bool {
-	return s.Tasks <= cell.Tasks && cell.PerTask.Covers(s.PerTask) && spanRank(cell.Span) <= spanRank(s.Span)
+	return s.Tasks == cell.Tasks && cell.PerTask.Covers(s.PerTask) && spanRank(cell.Span) <= spanRank(s.Span)
 }
 
 func spanRank(s Span) int {
