--- a/pkg/crankplan/guarded.go
+++ b/pkg/crankplan/guarded.go
@@ -26,7 +26,6 @@
 type Guarded struct {
 	HoldAfter  time.Duration // wait of a blocked job before workers are held for it
 	AgingBound time.Duration // wait after which patient work goes by submission
-	Preempt    bool          // small patient jobs take the place of large ones that can move
 	Scored     bool          // places are chosen by the room that they leave for other gangs
 }
 
@@ -138,7 +137,7 @@
 		r.wait(j, reasonQuota)
 		return
 	}
-	if r.placeSafely(j) || r.borrow(j) || r.claim(j) || r.reclaim(j) || r.placeHeld(j) || r.preempt(j) {
+	if r.placeSafely(j) || r.borrow(j) || r.claim(j) || r.reclaim(j) || r.placeHeld(j) {
 		return
 	}
 	r.wait(j, r.holdFor(j))
@@ -279,26 +278,6 @@
 	return true
 }
 
-// preempt lets a patient job take the place of a borrower that can move and is
-// much larger: the small job ends soon, and the large one loses little.
-func (r *round) preempt(j crank.RoundJob) bool {
-	key := blockKey{shape: j.Shape, view: viewSoft}
-	if _, blocked := r.blocked[key]; blocked || !r.policy.Preempt || j.Class == crank.ClassUrgent {
-		return false
-	}
-	area := j.Shape.Total().Accelerators
-	parts, victims, ok := r.cheapest(j, viewMild, func(a crank.RoundAttempt) bool {
-		return movable(a) && a.Shape.Total().Accelerators >= preemptGain*max(1, area)
-	})
-	if !ok {
-		r.blocked[key] = 0
-		return false
-	}
-	evicts := r.borrowers.evict(r.fleet, victims)
-	r.place(j, crank.Placement{Parts: parts, Evicts: evicts}, j.Stoppable)
-	return true
-}
-
 // place records a placement. A borrower may be stopped later.
 func (r *round) place(j crank.RoundJob, p crank.Placement, borrower bool) {
 	p.Job = j.ID
--- a/pkg/crankplan/limits.go
+++ b/pkg/crankplan/limits.go
@@ -8,7 +8,6 @@
 	DefaultAgingBound = 8 * time.Hour   // wait after which patient work goes by submission
 	MaxHolds          = 4               // jobs that workers are held for at once
 	urgentLoss        = 1e6             // weight of urgent work against patient work when some of it has to stop
-	preemptGain       = 8               // how many times the accelerators of a preempting job a preempted one must need
 	moveGain          = 2               // how many times the accelerators of those that are moved a job must need
 	minRunTime        = time.Second     // shortest run time that a prediction counts as
 )
--- a/pkg/crankplan/measure_test.go
+++ b/pkg/crankplan/measure_test.go
@@ -32,7 +32,6 @@
 		{"first-fit", FirstFit{}},
 		{"best-fit", BestFit{}},
 		{"guarded", NewGuarded()},
-		{"preempt", Guarded{HoldAfter: DefaultHoldAfter, AgingBound: DefaultAgingBound, Scored: true, Preempt: true}},
 		{"unscored", NewGuarded().WithScored(false)},
 	}
 }
