--- a/cmd/internal/crankcli/serve.go
+++ b/cmd/internal/crankcli/serve.go
@@ -184,10 +184,11 @@
 	return nil
 }
 
-// drain ends the requests under way without cutting one off.
+// drain ends the requests under way without cutting one off. Until the listener
+// closes, each answer asks its caller to close the connection, so that hardly
+// any connection is idle, and may be about to carry a request, when it does.
 func (i *instance) drain() {
 	i.node.Drain()
-	i.public.SetKeepAlivesEnabled(false)
 	time.Sleep(i.settings.DrainNotice)
 	ctx, cancel := context.WithTimeout(context.Background(), i.settings.DrainTimeout)
 	defer cancel()
--- a/internal/crankhttp/server.go
+++ b/internal/crankhttp/server.go
@@ -104,6 +104,9 @@
 func (s *server) measure(next echo.HandlerFunc) echo.HandlerFunc {
 	return func(c echo.Context) error {
 		begun := time.Now()
+		if s.Node.Draining() {
+			c.Response().Header().Set("Connection", "close")
+		}
 		err := next(c)
 		status := c.Response().Status
 		if err != nil {
--- a/internal/cranknode/node.go
+++ b/internal/cranknode/node.go
@@ -145,6 +145,9 @@
 	n.Logger.Info("node: draining")
 }
 
+// Draining reports whether the node is about to stop.
+func (n *Node) Draining() bool { return n.draining.Load() }
+
 // Ready reports whether requests can be judged: the state is whole and current,
 // and the node is not draining.
 func (n *Node) Ready() bool {
--- a/internal/crankstream/writer.go
+++ b/internal/crankstream/writer.go
@@ -87,7 +87,7 @@
 }
 
 // withdraw gives up waiting for a proposal. One that is still queued is never
-// sent.
+// sent; one that is being appended may get a definite answer in a moment.
 func (p *proposal) withdraw() ([]crankfold.Verdict, error) {
 	if p.stage.CompareAndSwap(stageQueued, stageWithdrawn) {
 		return nil, crank.Wrap("log propose", crank.KindUnavailable, p.ctx.Err())
@@ -95,11 +95,15 @@
 	select {
 	case r := <-p.answer:
 		return r.verdicts, r.err
-	default:
+	case <-time.After(withdrawWait):
 		return nil, crank.Wrap("log propose", crank.KindUnknown, p.ctx.Err())
 	}
 }
 
+// withdrawWait is how long a proposal that is being appended still waits for a
+// definite answer.
+const withdrawWait = 2 * crank.CallTimeout
+
 // ProposeOne appends one record and returns its verdict.
 func (w *Writer) ProposeOne(ctx context.Context, priority Priority, record crankrecord.Record) (crankfold.Verdict, error) {
 	verdicts, err := w.Propose(ctx, priority, record)
@@ -235,10 +239,31 @@
 		d.uncertain = true
 	}
 	w.Logger.Warn("stream: append failed", "sequence", w.sequence, "error", err)
-	if d.uncertain && w.await(ctx, d, awaitAfterFailure) {
+	if !d.uncertain {
+		pause(ctx, retryDelay)
+		w.requeue(d)
 		return true
 	}
-	return w.abandon(ctx, d)
+	return w.await(ctx, d, awaitAfterFailure) || w.abandon(ctx, d)
+}
+
+// requeue takes back a batch that was certainly not appended. Proposals that
+// nobody waits for any more are answered as not appended, the others go to the
+// front of their queues, and the sequence number is free again.
+func (w *Writer) requeue(d *delivery) {
+	w.sequence--
+	var again [priorities][]*proposal
+	for _, p := range d.batch {
+		if p.ctx.Err() != nil {
+			p.answer <- reply{err: crank.Wrap("log propose", crank.KindUnavailable, p.ctx.Err())}
+			continue
+		}
+		p.stage.Store(stageQueued)
+		again[p.priority] = append(again[p.priority], p)
+	}
+	for i := range w.queues {
+		w.queues[i] = append(again[i], w.queues[i]...)
+	}
 }
 
 const (
@@ -285,15 +310,10 @@
 	return true
 }
 
-// abandon gives a batch up when nobody waits for it any more, or the writer
-// ends. A batch that may have been appended is answered as unknown; its
-// sequence number is not used again, so a copy that is still under way counts
-// at most once.
+// abandon gives up a batch that may have been appended, when nobody waits for
+// it any more or the writer ends. Its sequence number is not used again, so a
+// copy that is still under way counts at most once.
 func (w *Writer) abandon(ctx context.Context, d *delivery) bool {
-	kind := crank.KindUnavailable
-	if d.uncertain {
-		kind = crank.KindUnknown
-	}
 	waiting := false
 	for _, p := range d.batch {
 		if p.ctx.Err() == nil && ctx.Err() == nil {
@@ -303,7 +323,7 @@
 	if waiting {
 		return false
 	}
-	answerAll(d.batch, reply{err: crank.Fail("log propose", kind, "the log did not answer in time")})
+	answerAll(d.batch, reply{err: crank.Fail("log propose", crank.KindUnknown, "the log did not answer in time")})
 	return true
 }
 
--- a/proofs/crankproof/history_test.go
+++ b/proofs/crankproof/history_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/internal/cranknode"
 	"cranberrycrank/standin/crankfakeworker"
 )
 
@@ -31,6 +32,7 @@
 	answer     string
 	fetched    bool // answer was fetched
 	refused    bool // an instance said that it was not run
+	sent       cranknode.Request
 }
 
 // taskEvent is the start or the end of a part at a worker.
@@ -87,6 +89,17 @@
 	h.requests[r.payload] = &r
 }
 
+// list returns all requests.
+func (h *history) list() []request {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var list []request
+	for _, r := range h.requests {
+		list = append(list, *r)
+	}
+	return list
+}
+
 // update changes a request under the lock.
 func (h *history) update(payload string, change func(*request)) {
 	h.mu.Lock()
--- a/standin/crankfakeworker/worker.go
+++ b/standin/crankfakeworker/worker.go
@@ -49,6 +49,7 @@
 	Hang       bool // calls are not answered
 	LoseAnswer bool // calls take effect, then fail
 	Unreached  bool // calls fail without effect
+	CutAnswers bool // half of an answer is sent
 }
 
 // Worker runs parts.
@@ -374,6 +375,9 @@
 			return crank.Fail("worker answer", crank.KindNotFound, "no answer of this attempt is kept")
 		}
 		answer = p.answer
+		if w.faults.CutAnswers {
+			answer = answer[:len(answer)/2]
+		}
 		return nil
 	})
 	return answer, err
