--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 	scripts/demo
 
 measure:
-	$(GO) test -count=1 -run TestMeasure -v ./pkg/crankplan -measure
+	$(GO) test -count=1 -timeout 30m -run TestMeasure -v ./pkg/crankplan -measure
+	$(GO) test -count=1 -run TestMeasure -v ./proofs/crankprocess -measure
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./pkg/crankplan ./internal/crankfold
--- /dev/null
+++ b/internal/crankconf/fuzz_test.go
@@ -0,0 +1,30 @@
+package crankconf
+
+import (
+	"testing"
+
+	crank "cranberrycrank"
+)
+
+// FuzzSettings feeds settings, which are read or refused with faults.
+func FuzzSettings(f *testing.F) {
+	f.Add("[instance]\nid = a\nlisten = 127.0.0.1:1\n")
+	f.Add("[instance\n= x\n[running]\ndrain-timeout = 1s\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		if _, err := ParseSettings("settings.ini", text); err != nil && err.Error() == "" {
+			t.Fatal("an error without a fault")
+		}
+	})
+}
+
+// FuzzConfiguration feeds a published file.
+func FuzzConfiguration(f *testing.F) {
+	f.Add("[zone a]\nregion = r\n[profile p]\nclass = urgent\nrun-time = 1s\n")
+	f.Add("[workspace w]\n[guarantee g]\nworkspace = w\ncells = 3\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := ParseFiles([]crank.File{{Name: "a.ini", Text: text}})
+		if err != nil && err.Error() == "" {
+			t.Fatal("an error without a fault")
+		}
+	})
+}
--- a/internal/crankdispatch/abort.go
+++ b/internal/crankdispatch/abort.go
@@ -24,14 +24,14 @@
 	defer cancel()
 	statuses := make([]crank.PartStatus, len(j.Attempt.Parts))
 	known := make([]bool, len(j.Attempt.Parts))
-	_ = s.each(j, func(p crankfold.Part) error {
+	_, _ = s.each(j, func(p crankfold.Part) error {
 		i := indexOf(j, p.Worker)
 		statuses[i], known[i] = s.end(call, j, p)
 		return nil
 	})
 	if s.untouched(j, statuses, known) {
 		s.Logger.Info("dispatch: attempt is void", "job", s.id.Job, "attempt", s.id.Number, "reason", s.reason)
-		s.record(ctx, j, crankrecord.Record{Void: &crankrecord.Void{Attempt: s.id, Token: s.token, Reason: s.reason}})
+		s.record(ctx, j, crankrecord.Record{Void: &crankrecord.Void{Attempt: s.id, Token: s.token, Reason: s.reason, Worker: s.culprit}})
 		return
 	}
 	for i, p := range j.Attempt.Parts {
--- a/internal/crankdispatch/starter.go
+++ b/internal/crankdispatch/starter.go
@@ -14,10 +14,11 @@
 // starter starts one attempt under one token.
 type starter struct {
 	Config
-	id     crank.AttemptID
-	token  crank.Position
-	sent   sync.Map // identity of each worker that a start was sent to
-	reason string   // why the start failed
+	id      crank.AttemptID
+	token   crank.Position
+	sent    sync.Map // identity of each worker that a start was sent to
+	reason  string   // why the start failed
+	culprit string   // worker that was the cause, if one was
 }
 
 // run works on the attempt until it is started, over, or owned by another.
@@ -63,7 +64,8 @@
 	if err := s.stopEvicted(ctx, j); err != nil {
 		return "an evicted attempt did not stop in time"
 	}
-	if err := s.each(j, func(p crankfold.Part) error { return s.reserve(ctx, j, p) }); err != nil {
+	if worker, err := s.each(j, func(p crankfold.Part) error { return s.reserve(ctx, j, p) }); err != nil {
+		s.culprit = worker
 		return "a worker could not be reserved: " + message(err)
 	}
 	call, cancel := context.WithTimeout(ctx, crank.CallTimeout)
@@ -75,7 +77,8 @@
 	if reason := s.check(view.State, j); reason != "" {
 		return reason
 	}
-	if err := s.each(j, func(p crankfold.Part) error { return s.startPart(ctx, j, p) }); err != nil {
+	if worker, err := s.each(j, func(p crankfold.Part) error { return s.startPart(ctx, j, p) }); err != nil {
+		s.culprit = worker
 		return "a part could not be started: " + message(err)
 	}
 	s.record(ctx, j, crankrecord.Record{Started: &crankrecord.Started{Attempt: s.id, Token: s.token}})
@@ -201,11 +204,23 @@
 			return err
 		}
 		if pause(call, reservePoll); call.Err() != nil {
-			return err
+			return s.startedAfterAll(ctx, p, err)
 		}
 	}
 }
 
+// startedAfterAll asks a worker whose answers to a start were lost whether the
+// part runs, and returns the error if it does not.
+func (s *starter) startedAfterAll(ctx context.Context, p crankfold.Part, err error) error {
+	call, cancel := context.WithTimeout(ctx, crank.CallTimeout)
+	defer cancel()
+	status, askErr := s.worker(p.Worker).Fence(call, s.command(p))
+	if askErr == nil && (status.State == crank.PartRunning || status.State == crank.PartDone) {
+		return nil
+	}
+	return err
+}
+
 // record proposes a record and logs a failure; the caller tries again while
 // the state does not show it.
 func (s *starter) record(ctx context.Context, j crankfold.Job, r crankrecord.Record) {
@@ -226,19 +241,23 @@
 
 const recordWait = 3 * time.Second
 
-// each runs a step for every part at once and returns the first error.
-func (s *starter) each(j crankfold.Job, step func(crankfold.Part) error) error {
-	errs := make(chan error, len(j.Attempt.Parts))
+// each runs a step for every part at once and returns the first error with the
+// worker that gave it.
+func (s *starter) each(j crankfold.Job, step func(crankfold.Part) error) (worker string, first error) {
+	type outcome struct {
+		worker string
+		err    error
+	}
+	outcomes := make(chan outcome, len(j.Attempt.Parts))
 	for _, p := range j.Attempt.Parts {
-		go func() { errs <- step(p) }()
+		go func() { outcomes <- outcome{p.Worker, step(p)} }()
 	}
-	var first error
 	for range j.Attempt.Parts {
-		if err := <-errs; err != nil && first == nil {
-			first = err
+		if o := <-outcomes; o.err != nil && first == nil {
+			worker, first = o.worker, o.err
 		}
 	}
-	return first
+	return worker, first
 }
 
 // command names the attempt's part at a worker.
--- a/internal/crankfold/attempt.go
+++ b/internal/crankfold/attempt.go
@@ -195,5 +195,5 @@
 		j = j.WithPart(i, part)
 	}
 	j.Detail = r.Reason
-	return s.close(j), accept(p)
+	return s.avoid(r.Worker).close(j), accept(p)
 }
--- a/internal/crankfold/end.go
+++ b/internal/crankfold/end.go
@@ -1,6 +1,8 @@
 package crankfold
 
 import (
+	"slices"
+
 	crank "cranberrycrank"
 	"cranberrycrank/internal/crankrecord"
 )
@@ -120,6 +122,7 @@
 // failed retries an idempotent job within its attempts.
 func (s State) failed(j Job) State {
 	j.Failed++
+	j.FailedAt = j.failedAt()
 	if j.Rules.Idempotent && j.Failed < j.Rules.Attempts {
 		return s.again(j)
 	}
@@ -129,6 +132,18 @@
 	return s.end(j, crank.OutcomeDone, ResultFailed, j.Detail)
 }
 
+// failedAt returns the workers where the job failed, with those of its current
+// attempt.
+func (j Job) failedAt() []string {
+	list := slices.Clone(j.FailedAt)
+	for _, p := range j.Attempt.Parts {
+		if p.State == crank.PartFailed && !slices.Contains(list, p.Worker) {
+			list = append(list, p.Worker)
+		}
+	}
+	return list
+}
+
 // again puts the job back into the queue, or ends it when it was cancelled.
 func (s State) again(j Job) State {
 	if j.Cancelled {
--- a/internal/crankfold/job.go
+++ b/internal/crankfold/job.go
@@ -35,10 +35,11 @@
 	StartedAt   time.Time      `json:"started-at"` // of the first start
 	EndedAt     time.Time      `json:"ended-at"`
 	State       JobState       `json:"state"`
-	Rules       crank.Profile  `json:"rules"`   // the profile in force at submission
-	Placed      int            `json:"placed"`  // attempts so far
-	Failed      int            `json:"failed"`  // attempts that ran and failed
-	MayRun      bool           `json:"may-run"` // some part of an ended attempt may have run
+	Rules       crank.Profile  `json:"rules"`               // the profile in force at submission
+	Placed      int            `json:"placed"`              // attempts so far
+	Failed      int            `json:"failed"`              // attempts that ran and failed
+	FailedAt    []string       `json:"failed-at,omitempty"` // workers where it failed
+	MayRun      bool           `json:"may-run"`             // some part of an ended attempt may have run
 	Cancelled   bool           `json:"cancelled"`
 	Attempt     Attempt        `json:"attempt"` // the current one, or the last
 	Outcome     crank.Outcome  `json:"outcome"`
--- a/internal/crankfold/operate.go
+++ b/internal/crankfold/operate.go
@@ -109,6 +109,19 @@
 	return s
 }
 
+// avoidTime is how long a worker that could not be reserved is passed over.
+const avoidTime = 3 * time.Second
+
+// avoid passes over a worker for a moment.
+func (s State) avoid(id string) State {
+	w, ok := s.workers.Get(id)
+	if until := s.Horizon.Add(avoidTime); ok && until.After(w.AsideUntil) {
+		w.AsideUntil = until
+		s.workers = s.workers.Set(id, w)
+	}
+	return s
+}
+
 // Failing workers are set aside for a time that doubles with each failure.
 const (
 	asideFailures = 3
--- a/internal/cranknode/submit.go
+++ b/internal/cranknode/submit.go
@@ -120,12 +120,19 @@
 }
 
 // Wait returns a job once it has an outcome, or as it is when the context
-// ends or the node drains. An error of KindUnavailable means that this instance can't tell.
+// ends or the node drains. An error of KindUnavailable means that this instance
+// can't tell. A job that the state lacks may have been accepted by another
+// instance a moment ago, so the log is read once more before it is denied.
 func (n *Node) Wait(ctx context.Context, job string) (crankfold.Job, error) {
-	ctx, cancel := context.WithCancel(ctx)
+	if _, ok := n.State().Job(job); !ok {
+		if err := n.sync(ctx); err != nil {
+			return crankfold.Job{}, err
+		}
+	}
+	waiting, cancel := context.WithCancel(ctx)
 	defer cancel()
 	defer context.AfterFunc(n.waits, cancel)()
-	v, _ := n.box.Wait(ctx, func(v crankbox.View) bool {
+	v, _ := n.box.Wait(waiting, func(v crankbox.View) bool {
 		j, ok := v.State.Job(job)
 		return !v.Stale() && (!ok || j.State == crankfold.JobEnded)
 	})
@@ -139,6 +146,14 @@
 	return j, crank.Fail("job wait", crank.KindNotFound, "job %s does not exist", job)
 }
 
+// sync brings the state up to the end of the log.
+func (n *Node) sync(ctx context.Context) error {
+	call, cancel := context.WithTimeout(context.WithoutCancel(ctx), crank.CallTimeout)
+	defer cancel()
+	_, err := crankstream.Sync(call, n.log, n.box)
+	return err
+}
+
 // Cancel ends a job.
 func (n *Node) Cancel(ctx context.Context, job string) error {
 	if _, err := n.fresh("job cancel"); err != nil {
--- a/internal/crankrecord/record.go
+++ b/internal/crankrecord/record.go
@@ -69,8 +69,10 @@
 	Token   crank.Position  `json:"token"`
 }
 
-// Void says that no part of an attempt was started and none can be.
+// Void says that no part of an attempt was started and none can be. Worker is
+// the one that was the cause, if one was.
 type Void struct {
+	Worker  string          `json:"worker,omitempty"`
 	Attempt crank.AttemptID `json:"attempt"`
 	Token   crank.Position  `json:"token"`
 	Reason  string          `json:"reason"`
--- a/internal/crankterm/round.go
+++ b/internal/crankterm/round.go
@@ -124,6 +124,7 @@
 		Submitted: j.SubmittedAt,
 		Deadline:  j.Deadline,
 		RunTime:   s.PredictRunTime(j.Rules),
+		Avoid:     j.FailedAt,
 	}
 }
 
--- a/pkg/crankplan/fit.go
+++ b/pkg/crankplan/fit.go
@@ -13,6 +13,7 @@
 	shape crank.Shape
 	job   string                // workers held for another job are passed over
 	open  func(worker int) bool // held workers that may be used all the same, may be nil
+	avoid []string              // workers that are not used
 	only  map[string]bool       // the only workers to use, nil for all
 }
 
@@ -114,6 +115,9 @@
 	if held := s.fleet.closed[i]; held != "" && held != s.job && (s.open == nil || !s.open(i)) {
 		return false
 	}
+	if len(s.avoid) > 0 && slices.Contains(s.avoid, s.fleet.workers[i].ID) {
+		return false
+	}
 	return s.only == nil || s.only[s.fleet.workers[i].ID]
 }
 
--- a/pkg/crankplan/guarded.go
+++ b/pkg/crankplan/guarded.go
@@ -188,9 +188,9 @@
 	if shortest, ok := r.blocked[key]; ok && run >= shortest && !mine {
 		return nil
 	}
-	s := search{fleet: r.fleet, view: v, shape: j.Shape, job: j.ID, open: r.backfills(run)}
+	s := search{fleet: r.fleet, view: v, shape: j.Shape, job: j.ID, avoid: j.Avoid, open: r.backfills(run)}
 	parts := s.best()
-	if parts == nil {
+	if parts == nil && len(j.Avoid) == 0 {
 		r.blocked[key] = run
 	}
 	return parts
@@ -205,7 +205,7 @@
 	}
 	bound := c.parts
 	unbind(r.fleet, c)
-	s := search{fleet: r.fleet, view: viewSafe, shape: c.shape, job: j.ID, open: always}
+	s := search{fleet: r.fleet, view: viewSafe, shape: c.shape, job: j.ID, avoid: j.Avoid, open: always}
 	if parts := s.best(); parts != nil {
 		r.placeClaim(j, c, crank.Placement{Parts: parts})
 		return true
@@ -270,7 +270,9 @@
 	}
 	parts, victims, ok := r.cheapest(j, viewMild, patientBorrower)
 	if !ok {
-		r.blocked[key] = 0
+		if len(j.Avoid) == 0 {
+			r.blocked[key] = 0
+		}
 		return false
 	}
 	evicts := r.borrowers.evict(r.fleet, victims)
--- a/pkg/crankplan/holds.go
+++ b/pkg/crankplan/holds.go
@@ -202,7 +202,7 @@
 	for _, id := range held {
 		mine[id] = true
 	}
-	s := search{fleet: r.fleet, view: viewSoft, shape: j.Shape, job: j.ID}
+	s := search{fleet: r.fleet, view: viewSoft, shape: j.Shape, job: j.ID, avoid: j.Avoid}
 	s.open = func(i int) bool { return false }
 	s.only = mine
 	parts := s.best()
--- a/pkg/crankplan/reclaim.go
+++ b/pkg/crankplan/reclaim.go
@@ -101,7 +101,7 @@
 	total := j.Shape.Total()
 	least := 0.0
 	for i, w := range r.fleet.workers {
-		if !r.fleet.avail(v, i).Covers(total) {
+		if !r.fleet.avail(v, i).Covers(total) || slices.Contains(j.Avoid, w.ID) {
 			continue
 		}
 		if ok && !r.fleet.free[i].Covers(total) && r.borrowers.leastLoss(w.ID) >= least {
@@ -119,7 +119,7 @@
 	if ok || j.Shape.Span == crank.SpanWorker {
 		return parts, victims, ok
 	}
-	s := search{fleet: r.fleet, view: v, shape: j.Shape, job: j.ID, open: always}
+	s := search{fleet: r.fleet, view: v, shape: j.Shape, job: j.ID, avoid: j.Avoid, open: always}
 	if parts = s.best(); parts == nil {
 		return nil, nil, false
 	}
--- a/plan.go
+++ b/plan.go
@@ -36,6 +36,7 @@
 	Submitted time.Time
 	Deadline  time.Time
 	RunTime   time.Duration // predicted
+	Avoid     []string      // workers where it failed
 }
 
 // RoundAttempt is an attempt that holds workers.
--- a/proofs/crankproof/fault_test.go
+++ b/proofs/crankproof/fault_test.go
@@ -18,24 +18,25 @@
 type faultKind string
 
 const (
-	faultKill        faultKind = "kill"         // an instance dies and an empty one takes its place
-	faultKillAll     faultKind = "kill-all"     // all instances at once
-	faultStop        faultKind = "stop"         // an instance shuts down gracefully
-	faultCutLog      faultKind = "cut-log"      // one instance loses the log
-	faultCutWorkers  faultKind = "cut-workers"  // one instance loses all workers
-	faultFreeze      faultKind = "freeze"       // one instance is paused
-	faultLogDown     faultKind = "log-down"     // the log is down for all
-	faultLogSlow     faultKind = "log-slow"     // the log is slow for all
-	faultLogLoses    faultKind = "log-loses"    // appends take effect, their answers are lost
-	faultLogLate     faultKind = "log-late"     // answers come late
-	faultListDown    faultKind = "list-down"    // the instance list is down
-	faultWorkerDies  faultKind = "worker-dies"  // a worker restarts
-	faultWorkerHangs faultKind = "worker-hangs" // a worker answers nothing
-	faultWorkerLoses faultKind = "worker-loses" // a worker acts, but its answers are lost
-	faultWorkerFails faultKind = "worker-fails" // a worker fails all it starts
-	faultWorkerGone  faultKind = "worker-gone"  // a worker can't be reached
-	faultWorkerCuts  faultKind = "worker-cuts"  // a worker sends half of its answers
-	faultLeave       faultKind = "leave"        // a worker starts to leave
+	faultKill        faultKind = "kill"               // an instance dies and an empty one takes its place
+	faultKillAll     faultKind = "kill-all"           // all instances at once
+	faultStop        faultKind = "stop"               // an instance shuts down gracefully
+	faultCutLog      faultKind = "cut-log"            // one instance loses the log
+	faultCutWorkers  faultKind = "cut-workers"        // one instance loses all workers
+	faultFreeze      faultKind = "freeze"             // one instance is paused
+	faultLogDown     faultKind = "log-down"           // the log is down for all
+	faultLogSlow     faultKind = "log-slow"           // the log is slow for all
+	faultLogLoses    faultKind = "log-loses"          // appends take effect, their answers are lost
+	faultLogLate     faultKind = "log-late"           // answers come late
+	faultListDown    faultKind = "list-down"          // the instance list is down
+	faultWorkerDies  faultKind = "worker-dies"        // a worker restarts
+	faultWorkerHangs faultKind = "worker-hangs"       // a worker answers nothing
+	faultWorkerLoses faultKind = "worker-loses"       // a worker acts, but its answers are lost
+	faultWorkerStart faultKind = "worker-loses-start" // a worker starts, but its answers to starts are lost
+	faultWorkerFails faultKind = "worker-fails"       // a worker fails all it starts
+	faultWorkerGone  faultKind = "worker-gone"        // a worker can't be reached
+	faultWorkerCuts  faultKind = "worker-cuts"        // a worker sends half of its answers
+	faultLeave       faultKind = "leave"              // a worker starts to leave
 	faultZoneOut     faultKind = "zone-out"
 	faultZoneIn      faultKind = "zone-in"
 	faultZoneRace    faultKind = "zone-race" // two operators race out and in
@@ -45,7 +46,7 @@
 var faultKinds = []faultKind{
 	faultKill, faultKillAll, faultStop, faultCutLog, faultCutWorkers, faultFreeze,
 	faultLogDown, faultLogSlow, faultLogLoses, faultLogLate, faultListDown,
-	faultWorkerDies, faultWorkerHangs, faultWorkerLoses, faultWorkerFails, faultWorkerGone, faultWorkerCuts,
+	faultWorkerDies, faultWorkerHangs, faultWorkerLoses, faultWorkerFails, faultWorkerGone, faultWorkerCuts, faultWorkerStart,
 	faultLeave, faultZoneOut, faultZoneIn, faultZoneRace, faultPublish,
 }
 
@@ -132,6 +133,7 @@
 		faultWorkerLoses: {LoseAnswer: true},
 		faultWorkerFails: {FailAll: true},
 		faultWorkerGone:  {Unreached: true},
+		faultWorkerStart: {LoseStart: true},
 		faultWorkerCuts:  {CutAnswers: true},
 	}
 	if f, ok := logFaults[s.fault]; ok {
--- a/proofs/crankproof/history_test.go
+++ b/proofs/crankproof/history_test.go
@@ -14,6 +14,7 @@
 type history struct {
 	mu       sync.Mutex
 	requests map[string]*request // by payload, which is unique
+	reserves int
 	starts   []taskEvent
 	ends     []taskEvent
 	zones    []zoneChange
@@ -76,6 +77,8 @@
 	defer h.mu.Unlock()
 	t := taskEvent{at: e.At, worker: e.Worker, zone: zone, attempt: e.Attempt, tasks: e.Tasks, payload: string(e.Payload), state: e.State}
 	switch e.Kind {
+	case crankfakeworker.EventReserve:
+		h.reserves++
 	case crankfakeworker.EventStart:
 		h.starts = append(h.starts, t)
 	case crankfakeworker.EventEnd:
@@ -100,6 +103,20 @@
 	return list
 }
 
+// reserved returns how many reservations were granted.
+func (h *history) reserved() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.reserves
+}
+
+// started returns how many parts were started.
+func (h *history) started() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return len(h.starts)
+}
+
 // update changes a request under the lock.
 func (h *history) update(payload string, change func(*request)) {
 	h.mu.Lock()
--- a/proofs/crankproof/once_test.go
+++ b/proofs/crankproof/once_test.go
@@ -11,6 +11,7 @@
 	"cranberrycrank/internal/cranknode"
 	"cranberrycrank/internal/crankrecord"
 	"cranberrycrank/standin/crankfakelog"
+	"cranberrycrank/standin/crankfakeworker"
 
 	"github.com/matryer/is"
 )
@@ -97,6 +98,73 @@
 	})
 }
 
+// TestLostStartAnswers starts at workers that act on a start and lose their
+// answer: the job runs once, and is done.
+func TestLostStartAnswers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, a, b, _ := startCluster(t)
+		defer c.stopAll()
+		for _, w := range c.workers {
+			w.SetFaults(crankfakeworker.Faults{LoseStart: true})
+		}
+		r := bill("bill", time.Hour)
+		r.Payload = []byte(`{"run-ms":5000}`)
+		id := c.submit(a, r)
+		j := c.await(b, id, time.Minute)
+		is.Equal(j.Outcome, crank.OutcomeDone)
+		is.Equal(j.Result, crankfold.ResultSucceeded)
+		is.Equal(len(c.history.starts), 1)
+	})
+}
+
+// TestUnreachableAfterLostStart loses the answer to a start and then the worker
+// itself: the caller is told unknown, never that the job was not run, and it
+// runs nowhere else.
+func TestUnreachableAfterLostStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, a, b, _ := startCluster(t)
+		defer c.stopAll()
+		for _, w := range c.workers {
+			w.SetFaults(crankfakeworker.Faults{LoseStart: true})
+		}
+		r := bill("bill", time.Hour)
+		r.Payload = []byte(`{"run-ms":600000}`)
+		id := c.submit(a, r)
+		for c.history.started() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for id, w := range c.workers {
+			w.SetFaults(crankfakeworker.Faults{Unreached: id == c.history.starts[0].worker})
+		}
+		j := c.await(b, id, 2*time.Minute)
+		is.Equal(j.Outcome, crank.OutcomeUnknown)
+		for _, w := range c.workers {
+			w.SetFaults(crankfakeworker.Faults{})
+		}
+		time.Sleep(time.Minute)
+		is.Equal(c.history.started(), 1)
+	})
+}
+
+// TestUnreachableWorkerIsPassedOver loses a worker that placements prefer: the
+// next urgent job starts elsewhere soon, long before the worker counts as lost.
+func TestUnreachableWorkerIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, a, b, _ := startCluster(t)
+		defer c.stopAll()
+		first := c.submit(a, cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: []byte("first")})
+		c.await(a, first, time.Minute)
+		c.workers[c.history.starts[0].worker].SetFaults(crankfakeworker.Faults{Unreached: true})
+		begun := time.Now()
+		second := c.submit(a, cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: []byte("second")})
+		is.Equal(c.await(b, second, time.Minute).Outcome, crank.OutcomeDone)
+		is.True(time.Since(begun) < 2*time.Second)
+	})
+}
+
 // TestLogCutFromOneInstance goes through a peer; cut from all instances,
 // nothing starts.
 func TestLogCutFromOneInstance(t *testing.T) {
@@ -152,6 +220,75 @@
 	})
 }
 
+// zoneCluster starts two instances over two workers of one zone.
+func zoneCluster(t *testing.T) (*cluster, []*entry) {
+	c := newCluster(t, testConfig())
+	c.addWorkers("gulberg", 2)
+	entries := []*entry{c.startEntry("a"), c.startEntry("b")}
+	time.Sleep(settleTime)
+	return c, entries
+}
+
+// takeOut takes the only zone out at the second instance.
+func takeOut(t *testing.T, e *entry) {
+	t.Helper()
+	if _, err := e.node.SetZone(t.Context(), crankrecord.Zone{Zone: "gulberg", Out: true, Force: true}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestStartOnAStateThatIsBehind pauses the planner's instance before its
+// reservations. It wakes while its way to the log is still stuck, so all that
+// it knows is older than the zone's leaving.
+func TestStartOnAStateThatIsBehind(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, entries := zoneCluster(t)
+		defer c.stopAll()
+		for _, e := range entries {
+			e.toWork.freeze()
+		}
+		c.submit(entries[0], cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: []byte("quote")})
+		time.Sleep(100 * time.Millisecond)
+		entries[0].toLog.freeze()
+		takeOut(t, entries[1])
+		time.Sleep(zoneBound)
+		entries[0].toWork.thaw()
+		time.Sleep(3 * time.Second)
+		entries[0].toLog.thaw()
+		entries[1].toWork.thaw()
+		time.Sleep(10 * time.Second)
+		is.Equal(len(c.history.starts), 0)
+	})
+}
+
+// TestPauseBetweenTheLogAndTheStart pauses all instances once a reservation is
+// granted, takes the zone out, and wakes them: the reservation has lapsed.
+func TestPauseBetweenTheLogAndTheStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, entries := zoneCluster(t)
+		defer c.stopAll()
+		c.log.SetFaults(crankfakelog.Faults{Delay: 300 * time.Millisecond})
+		c.submit(entries[0], cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: []byte("quote")})
+		for c.history.reserved() == 0 {
+			time.Sleep(10 * time.Millisecond)
+		}
+		for _, e := range entries {
+			e.toWork.freeze()
+		}
+		time.Sleep(500 * time.Millisecond) // the tail of the log is read by now
+		c.log.SetFaults(crankfakelog.Faults{})
+		takeOut(t, entries[1])
+		time.Sleep(zoneBound)
+		for _, e := range entries {
+			e.toWork.thaw()
+		}
+		time.Sleep(10 * time.Second)
+		is.Equal(len(c.history.starts), 0)
+	})
+}
+
 // TestOperatorsRace lets two operators bring a zone back on the same base while
 // a third takes it out: whoever lost is told so.
 func TestOperatorsRace(t *testing.T) {
--- a/standin/crankfakeworker/worker.go
+++ b/standin/crankfakeworker/worker.go
@@ -48,6 +48,7 @@
 	FailAll    bool // every part fails as soon as it is started
 	Hang       bool // calls are not answered
 	LoseAnswer bool // calls take effect, then fail
+	LoseStart  bool // the same, but for starts only
 	Unreached  bool // calls fail without effect
 	CutAnswers bool // half of an answer is sent
 }
@@ -171,13 +172,13 @@
 
 // Start implements crank.Worker.
 func (w *Worker) Start(ctx context.Context, s crank.Start) error {
-	return w.call(ctx, "worker start", func() error {
+	return w.call(ctx, opStart, func() error {
 		if err := w.checkEpoch(s.Command); err != nil {
 			return err
 		}
 		p, ok := w.parts[s.Attempt]
 		if !ok || s.Token < p.token {
-			return fenced("worker start")
+			return fenced(opStart)
 		}
 		switch p.status.State {
 		case crank.PartRunning, crank.PartDone:
@@ -186,10 +187,12 @@
 			w.run(p, s)
 			return nil
 		}
-		return crank.Fail("worker start", crank.KindRefused, "no reservation is held")
+		return crank.Fail(opStart, crank.KindRefused, "no reservation is held")
 	})
 }
 
+const opStart = "worker start"
+
 func (w *Worker) run(p *part, s crank.Start) {
 	work, duration := ParseWork(s.Payload)
 	p.status.State = crank.PartRunning
@@ -410,7 +413,7 @@
 	w.mu.Lock()
 	err := f()
 	w.mu.Unlock()
-	if faults.LoseAnswer {
+	if faults.LoseAnswer || (faults.LoseStart && op == opStart) {
 		return crank.Fail(op, crank.KindUnknown, "the answer was lost")
 	}
 	return err
