--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 	$(GO) test -count=1 -run TestMeasure -v ./proofs/crankprocess -measure
 
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./pkg/crankplan ./internal/crankfold
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/crankplan ./internal/crankfold ./internal/crankplatform
 
 fuzz:
 	scripts/fuzz
--- a/pkg/crankwire/wire.go
+++ b/pkg/crankwire/wire.go
@@ -98,7 +98,8 @@
 	return nil
 }
 
-// Do sends a body and returns the whole body of the answer and its header.
+// Do sends a body and returns the whole body of the answer and its header. The
+// body is empty when the other side says that it has not changed.
 func (c *Client) Do(ctx context.Context, op, method, path string, body []byte, header http.Header, limit int64) ([]byte, http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -118,7 +119,7 @@
 	if int64(len(data)) > limit {
 		return nil, nil, crank.Fail(op, crank.KindUnknown, "the answer is longer than %d bytes", limit)
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices {
+	if resp.StatusCode >= http.StatusMultipleChoices && resp.StatusCode != http.StatusNotModified {
 		return data, resp.Header, problem(op, resp.StatusCode, data)
 	}
 	return data, resp.Header, nil
--- a/standin/crankfakehttp/serve.go
+++ b/standin/crankfakehttp/serve.go
@@ -3,7 +3,9 @@
 package crankfakehttp
 
 import (
+	"crypto/sha256"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -44,7 +46,11 @@
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", func(rw http.ResponseWriter, r *http.Request) {
 		instances, err := l.Instances(r.Context())
-		answer(rw, instances, err)
+		if err != nil {
+			fail(rw, err)
+			return
+		}
+		answerTagged(rw, r, instances)
 	})
 	mux.HandleFunc("PUT /instances", func(rw http.ResponseWriter, r *http.Request) {
 		var i crank.Instance
@@ -140,6 +146,24 @@
 	_ = json.NewEncoder(rw).Encode(value)
 }
 
+// answerTagged answers with an entity tag, and without a body when the caller
+// has the value already.
+func answerTagged(rw http.ResponseWriter, r *http.Request, value any) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		fail(rw, err)
+		return
+	}
+	tag := fmt.Sprintf(`"%x"`, sha256.Sum256(data))
+	rw.Header().Set("Etag", tag)
+	if r.Header.Get("If-None-Match") == tag {
+		rw.WriteHeader(http.StatusNotModified)
+		return
+	}
+	rw.Header().Set("Content-Type", "application/json")
+	_, _ = rw.Write(data)
+}
+
 func fail(rw http.ResponseWriter, err error) {
 	rw.Header().Set("Content-Type", "application/json")
 	rw.WriteHeader(crankwire.Status(crank.KindOf(err)))
