--- a/internal/crankdispatch/abort.go
+++ b/internal/crankdispatch/abort.go
@@ -36,7 +36,11 @@
 	}
 	for i, p := range j.Attempt.Parts {
 		if known[i] && !p.Over() {
-			s.record(ctx, j, crankrecord.Record{Ended: &crankrecord.Ended{Worker: p.Worker, Status: statuses[i]}})
+			s.record(ctx, j, crankrecord.Record{Ended: &crankrecord.Ended{
+				Worker:  p.Worker,
+				Status:  statuses[i],
+				Culprit: p.Worker == s.culprit,
+			}})
 		}
 	}
 }
--- a/internal/crankfold/end.go
+++ b/internal/crankfold/end.go
@@ -34,6 +34,9 @@
 	if j.StartedAt.IsZero() && part.State != crank.PartFenced {
 		j.StartedAt = s.Horizon
 	}
+	if r.Culprit {
+		s = s.avoid(r.Worker)
+	}
 	if !wasLost {
 		s = s.leave(part.Part, j).noteWorker(r.Worker, j, part.State)
 	}
--- a/internal/cranknode/operate.go
+++ b/internal/cranknode/operate.go
@@ -60,7 +60,7 @@
 func (n *Node) confirm(ctx context.Context, p crank.Position) Confirmation {
 	call, cancel := context.WithTimeout(ctx, confirmWait)
 	defer cancel()
-	c := Confirmation{Position: p, Accepted: time.Now(), Applied: []string{n.Instance}}
+	c := Confirmation{Position: p, Accepted: time.Now(), Applied: []string{n.Instance}, Missing: []string{}}
 	waiting := make(map[string]crank.Peer)
 	for _, e := range n.members.View().Entries {
 		if e.ID != n.Instance {
--- a/internal/crankrecord/record.go
+++ b/internal/crankrecord/record.go
@@ -78,10 +78,12 @@
 	Reason  string          `json:"reason"`
 }
 
-// Ended says how a part ended.
+// Ended says how a part ended. Culprit means that the part made the start of
+// its gang fail.
 type Ended struct {
-	Worker string           `json:"worker"`
-	Status crank.PartStatus `json:"status"`
+	Worker  string           `json:"worker"`
+	Status  crank.PartStatus `json:"status"`
+	Culprit bool             `json:"culprit,omitempty"`
 }
 
 // Lost says that a worker was out of reach for longer than a lease, or with
--- a/proofs/crankproof/fault_test.go
+++ b/proofs/crankproof/fault_test.go
@@ -33,10 +33,11 @@
 	faultWorkerHangs faultKind = "worker-hangs"       // a worker answers nothing
 	faultWorkerLoses faultKind = "worker-loses"       // a worker acts, but its answers are lost
 	faultWorkerStart faultKind = "worker-loses-start" // a worker starts, but its answers to starts are lost
-	faultWorkerFails faultKind = "worker-fails"       // a worker fails all it starts
-	faultWorkerGone  faultKind = "worker-gone"        // a worker can't be reached
-	faultWorkerCuts  faultKind = "worker-cuts"        // a worker sends half of its answers
-	faultLeave       faultKind = "leave"              // a worker starts to leave
+	faultWorkerNoRun faultKind = "worker-refuses-starts"
+	faultWorkerFails faultKind = "worker-fails" // a worker fails all it starts
+	faultWorkerGone  faultKind = "worker-gone"  // a worker can't be reached
+	faultWorkerCuts  faultKind = "worker-cuts"  // a worker sends half of its answers
+	faultLeave       faultKind = "leave"        // a worker starts to leave
 	faultZoneOut     faultKind = "zone-out"
 	faultZoneIn      faultKind = "zone-in"
 	faultZoneRace    faultKind = "zone-race" // two operators race out and in
@@ -46,7 +47,7 @@
 var faultKinds = []faultKind{
 	faultKill, faultKillAll, faultStop, faultCutLog, faultCutWorkers, faultFreeze,
 	faultLogDown, faultLogSlow, faultLogLoses, faultLogLate, faultListDown,
-	faultWorkerDies, faultWorkerHangs, faultWorkerLoses, faultWorkerFails, faultWorkerGone, faultWorkerCuts, faultWorkerStart,
+	faultWorkerDies, faultWorkerHangs, faultWorkerLoses, faultWorkerFails, faultWorkerGone, faultWorkerCuts, faultWorkerStart, faultWorkerNoRun,
 	faultLeave, faultZoneOut, faultZoneIn, faultZoneRace, faultPublish,
 }
 
@@ -134,6 +135,7 @@
 		faultWorkerFails: {FailAll: true},
 		faultWorkerGone:  {Unreached: true},
 		faultWorkerStart: {LoseStart: true},
+		faultWorkerNoRun: {NoStart: true},
 		faultWorkerCuts:  {CutAnswers: true},
 	}
 	if f, ok := logFaults[s.fault]; ok {
--- a/proofs/crankproof/focused_test.go
+++ b/proofs/crankproof/focused_test.go
@@ -123,6 +123,24 @@
 	})
 }
 
+// TestGangWithARefusedStart starts a gang of two workers of which one refuses
+// the start: the other part is stopped, and the gang runs whole elsewhere.
+func TestGangWithARefusedStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, a, b, _ := startCluster(t)
+		defer c.stopAll()
+		c.workers["gulberg-w1"].SetFaults(crankfakeworker.Faults{NoStart: true})
+		payload := `{"run-ms":5000}`
+		c.history.addRequest(request{payload: payload, idempotent: true, tasks: 4})
+		id := c.submit(a, cranknode.Request{Workspace: "kasur", Profile: "batch", Payload: []byte(payload)})
+		j := c.await(b, id, time.Minute)
+		is.Equal(j.Result, crankfold.ResultSucceeded)
+		is.True(j.Attempt.Number > 1)
+		is.Equal(check(c.history, time.Now()), nil)
+	})
+}
+
 // TestFailingWorkerIsSetAside breaks the worker that placements prefer: after a
 // few failures jobs start elsewhere at once.
 func TestFailingWorkerIsSetAside(t *testing.T) {
--- a/standin/crankfakeworker/worker.go
+++ b/standin/crankfakeworker/worker.go
@@ -49,6 +49,7 @@
 	Hang       bool // calls are not answered
 	LoseAnswer bool // calls take effect, then fail
 	LoseStart  bool // the same, but for starts only
+	NoStart    bool // starts are refused
 	Unreached  bool // calls fail without effect
 	CutAnswers bool // half of an answer is sent
 }
@@ -184,6 +185,9 @@
 		case crank.PartRunning, crank.PartDone:
 			return nil
 		case crank.PartReserved:
+			if w.faults.NoStart {
+				return crank.Fail(opStart, crank.KindRefused, "starts are refused")
+			}
 			w.run(p, s)
 			return nil
 		}
