--- a/pkg/crankplan/guarded_test.go
+++ b/pkg/crankplan/guarded_test.go
@@ -339,6 +339,26 @@
 	is.Equal(len(r.Active), 48*8)
 }
 
+// TestRestOfAClaimedCellIsKept claims a cell with a job that uses a part of it:
+// work that can't be stopped does not get the rest.
+func TestRestOfAClaimedCellIsKept(t *testing.T) {
+	is := is.New(t)
+	capacity := crank.Resources{Accelerators: 4, Cores: 16, MemoryMiB: 1 << 15, Slots: 6}
+	cell := shape(1, 4, 1, 1, crank.SpanWorker)
+	r := crank.Round{Whole: true, Now: time.Unix(0, 0)}
+	r.Workers = []crank.RoundWorker{{ID: "w", Zone: "z", Rack: "r", Capacity: capacity, Free: capacity, InService: true}}
+	r.Workspaces = []crank.RoundWorkspace{{Name: "owner", Guarantees: []crank.Guarantee{{Shape: cell, Cells: 1}}}, {Name: "other"}}
+	r.Waiting = []crank.RoundJob{
+		{ID: "claim", Workspace: "owner", Class: crank.ClassUrgent, Shape: shape(1, 1, 1, 1, crank.SpanWorker)},
+		{ID: "rest", Workspace: "other", Class: crank.ClassPatient, Shape: shape(1, 3, 1, 1, crank.SpanWorker)},
+	}
+	d := NewGuarded().Plan(r)
+	is.Equal(len(d.Places), 1)
+	is.Equal(d.Places[0].Cell, "owner/0/0")
+	r = settle(r, d, map[string]int{"w": 0})
+	is.Equal(len(NewGuarded().Plan(r).Places), 0)
+}
+
 // TestJobThatNeverFitsIsRefused refuses what no idle fleet could hold.
 func TestJobThatNeverFitsIsRefused(t *testing.T) {
 	is := is.New(t)
