--- a/internal/crankterm/round.go
+++ b/internal/crankterm/round.go
@@ -17,7 +17,8 @@
 
 // plan makes one planning round and proposes what it decided.
 func (p *Planner) plan(ctx context.Context, s crankfold.State) {
-	if !p.holds(s) || p.Box.View().Stale() {
+	waiting, _, _ := s.Counts()
+	if !p.holds(s) || p.Box.View().Stale() || (waiting == 0 && !draining(s)) {
 		return
 	}
 	decisions := p.Policy.Plan(newRound(s, p.memory))
@@ -31,6 +32,22 @@
 	}
 }
 
+// draining reports whether work may have to move off workers that leave
+// service.
+func draining(s crankfold.State) bool {
+	for _, z := range s.Zones() {
+		if z.Out {
+			return true
+		}
+	}
+	for _, w := range s.Workers() {
+		if w.Leaving && len(w.Attempts) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Preview returns what a round would decide on a state, without the memory of
 // earlier rounds.
 func (p *Planner) Preview(s crankfold.State) crank.Decisions {
