Read the history of a test under its lock

Ruled out: the product's code; both sides of the race were the test's.

Conclusion: the history is read through its methods only.

--- a/proofs/crankproof/focused_test.go
+++ b/proofs/crankproof/focused_test.go
@@ -112,7 +112,7 @@
 			time.Sleep(200 * time.Millisecond)
 		}
 		submit(0)
-		worker := c.history.starts[0].worker
+		worker := c.history.firstWorker()
 		c.list.Leave(worker)
 		c.history.leave(worker, time.Now())
 		for n := range 50 {
@@ -150,14 +150,14 @@
 		defer c.stopAll()
 		first := c.submit(a, cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: []byte("first")})
 		c.await(b, first, time.Minute)
-		broken := c.history.starts[0].worker
+		broken := c.history.firstWorker()
 		c.workers[broken].SetFaults(crankfakeworker.Faults{FailAll: true})
 		for n := range 10 {
 			id := c.submit(a, cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: fmt.Appendf(nil, "quote %d", n)})
 			is.Equal(c.await(b, id, time.Minute).Result, crankfold.ResultSucceeded)
 		}
 		failed := 0
-		for _, s := range c.history.starts {
+		for _, s := range c.history.allStarts() {
 			if s.worker == broken {
 				failed++
 			}
--- a/proofs/crankproof/history_test.go
+++ b/proofs/crankproof/history_test.go
@@ -117,6 +117,16 @@
 	return len(h.starts)
 }
 
+// allStarts returns the starts of all parts.
+func (h *history) allStarts() []taskEvent {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return append([]taskEvent(nil), h.starts...)
+}
+
+// firstWorker returns the worker of the first start.
+func (h *history) firstWorker() string { return h.allStarts()[0].worker }
+
 // update changes a request under the lock.
 func (h *history) update(payload string, change func(*request)) {
 	h.mu.Lock()
--- a/proofs/crankproof/once_test.go
+++ b/proofs/crankproof/once_test.go
@@ -46,7 +46,7 @@
 		is.True(!known)
 		_, err := b.node.Submit(t.Context(), r)
 		is.Equal(crank.KindOf(err), crank.KindExpired)
-		is.Equal(len(c.history.starts), 1)
+		is.Equal(c.history.started(), 1)
 	})
 }
 
@@ -78,7 +78,7 @@
 		is.Equal(crank.KindOf(err), crank.KindUnavailable)
 		c.log.SetFaults(crankfakelog.Faults{})
 		time.Sleep(time.Minute)
-		is.Equal(len(c.history.starts), 0)
+		is.Equal(c.history.started(), 0)
 	})
 }
 
@@ -94,7 +94,7 @@
 		id := c.submit(a, r)
 		is.Equal(c.submit(b, r), id)
 		is.Equal(c.await(b, id, time.Minute).Result, crankfold.ResultSucceeded)
-		is.Equal(len(c.history.starts), 1)
+		is.Equal(c.history.started(), 1)
 	})
 }
 
@@ -114,7 +114,7 @@
 		j := c.await(b, id, time.Minute)
 		is.Equal(j.Outcome, crank.OutcomeDone)
 		is.Equal(j.Result, crankfold.ResultSucceeded)
-		is.Equal(len(c.history.starts), 1)
+		is.Equal(c.history.started(), 1)
 	})
 }
 
@@ -136,7 +136,7 @@
 			time.Sleep(10 * time.Millisecond)
 		}
 		for id, w := range c.workers {
-			w.SetFaults(crankfakeworker.Faults{Unreached: id == c.history.starts[0].worker})
+			w.SetFaults(crankfakeworker.Faults{Unreached: id == c.history.firstWorker()})
 		}
 		j := c.await(b, id, 2*time.Minute)
 		is.Equal(j.Outcome, crank.OutcomeUnknown)
@@ -157,7 +157,7 @@
 		defer c.stopAll()
 		first := c.submit(a, cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: []byte("first")})
 		c.await(a, first, time.Minute)
-		c.workers[c.history.starts[0].worker].SetFaults(crankfakeworker.Faults{Unreached: true})
+		c.workers[c.history.firstWorker()].SetFaults(crankfakeworker.Faults{Unreached: true})
 		begun := time.Now()
 		second := c.submit(a, cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: []byte("second")})
 		is.Equal(c.await(b, second, time.Minute).Outcome, crank.OutcomeDone)
@@ -183,7 +183,7 @@
 			_, err := e.node.Submit(t.Context(), bill("through nobody", time.Hour))
 			is.Equal(crank.KindOf(err), crank.KindUnavailable)
 		}
-		is.Equal(len(c.history.starts), 1)
+		is.Equal(c.history.started(), 1)
 	})
 }
 
@@ -207,12 +207,12 @@
 			confirmation, err := b.node.SetZone(t.Context(), crankrecord.Zone{Zone: "gulberg", Out: true, Force: true})
 			is.NoErr(err)
 			time.Sleep(zoneBound)
-			before := len(c.history.starts)
+			before := c.history.started()
 			for _, e := range []*entry{a, b} {
 				e.toWork.thaw()
 			}
 			time.Sleep(10 * time.Second)
-			is.Equal(len(c.history.starts), before) // nothing starts after the bound
+			is.Equal(c.history.started(), before) // nothing starts after the bound
 			_, err = a.node.SetZone(t.Context(), crankrecord.Zone{Zone: "gulberg", Base: confirmation.Position})
 			is.NoErr(err)
 			is.Equal(c.await(a, id, time.Minute).Outcome, crank.OutcomeDone)
@@ -258,7 +258,7 @@
 		entries[0].toLog.thaw()
 		entries[1].toWork.thaw()
 		time.Sleep(10 * time.Second)
-		is.Equal(len(c.history.starts), 0)
+		is.Equal(c.history.started(), 0)
 	})
 }
 
@@ -285,7 +285,7 @@
 			e.toWork.thaw()
 		}
 		time.Sleep(10 * time.Second)
-		is.Equal(len(c.history.starts), 0)
+		is.Equal(c.history.started(), 0)
 	})
 }
 
