Keep one copy of what stood several times, and drop what nothing reads

Cause: a reading of the whole change. The wait for a time or a context stood in four packages, the look-up of a part by its worker in three forms, and a search and a sort beside those of the standard library. The member tracker's channel, Settings.Self and the switch of address() were read by nothing.

Ruled out: one Proposer interface for the three parts that propose; each names the one method that it needs. The order of workers stands in the planner's round and in the policy, which must not know each other.

After: crankstream.Pause, Job.PartAt, slices.

Conclusion: behaviour is unchanged; no test's assertion was touched.

--- a/cmd/internal/crankcli/config.go
+++ b/cmd/internal/crankcli/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -108,27 +109,18 @@
 	before, after := fileLines(old), fileLines(new)
 	lines := []string{}
 	for _, line := range before {
-		if !contains(after, line) {
+		if !slices.Contains(after, line) {
 			lines = append(lines, "- "+line)
 		}
 	}
 	for _, line := range after {
-		if !contains(before, line) {
+		if !slices.Contains(before, line) {
 			lines = append(lines, "+ "+line)
 		}
 	}
 	return lines
 }
 
-func contains(list []string, s string) bool {
-	for _, l := range list {
-		if l == s {
-			return true
-		}
-	}
-	return false
-}
-
 // fileLines returns the keys of all files, each behind its file and section.
 func fileLines(files []crank.File) []string {
 	var lines []string
--- a/internal/crankconf/settings.go
+++ b/internal/crankconf/settings.go
@@ -4,8 +4,6 @@
 	"log/slog"
 	"os"
 	"time"
-
-	crank "cranberrycrank"
 )
 
 // Settings are the settings of one process.
@@ -47,10 +45,10 @@
 	s := Settings{
 		Instance:       instance.requiredName("id"),
 		Zone:           instance.requiredName("zone"),
-		Listen:         instance.address("listen", true),
-		PeerListen:     instance.address("peer-listen", true),
-		Log:            platform.address("log", true),
-		List:           platform.address("list", true),
+		Listen:         instance.address("listen"),
+		PeerListen:     instance.address("peer-listen"),
+		Log:            platform.address("log"),
+		List:           platform.address("list"),
 		OperatorKey:    access.secret("operator-key"),
 		PeerKey:        access.secret("peer-key"),
 		LogLevel:       levels[logging.choice("level", "info", "debug", "info", "warn", "error")],
@@ -74,8 +72,3 @@
 	"warn":  slog.LevelWarn,
 	"error": slog.LevelError,
 }
-
-// Self returns the line of the instance list that the settings describe.
-func (s Settings) Self() crank.Instance {
-	return crank.Instance{ID: s.Instance, Role: crank.RoleEntry, Addr: s.PeerListen, Zone: s.Zone}
-}
--- a/internal/crankconf/value.go
+++ b/internal/crankconf/value.go
@@ -152,12 +152,10 @@
 }
 
 // address reads an IP address and a port. Host names are refused.
-func (s *section) address(key string, required bool) string {
+func (s *section) address(key string) string {
 	v, ok := s.get(key)
 	if !ok {
-		if required {
-			s.fault(key, "the key is missing")
-		}
+		s.fault(key, "the key is missing")
 		return ""
 	}
 	if _, err := netip.ParseAddrPort(v); err != nil {
--- a/internal/crankdispatch/abort.go
+++ b/internal/crankdispatch/abort.go
@@ -25,7 +25,7 @@
 	statuses := make([]crank.PartStatus, len(j.Attempt.Parts))
 	known := make([]bool, len(j.Attempt.Parts))
 	_, _ = s.each(j, func(p crankfold.Part) error {
-		i := indexOf(j, p.Worker)
+		i := j.PartAt(p.Worker)
 		statuses[i], known[i] = s.end(call, j, p)
 		return nil
 	})
@@ -76,15 +76,6 @@
 	return true
 }
 
-func indexOf(j crankfold.Job, worker string) int {
-	for i, p := range j.Attempt.Parts {
-		if p.Worker == worker {
-			return i
-		}
-	}
-	return -1
-}
-
 func message(err error) string {
 	var e *crank.Error
 	if errors.As(err, &e) {
@@ -92,10 +83,3 @@
 	}
 	return err.Error()
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/crankdispatch/starter.go
+++ b/internal/crankdispatch/starter.go
@@ -123,7 +123,7 @@
 			continue
 		}
 		for _, p := range victim.Attempt.Parts {
-			if _, shared := partAt(j, p.Worker); !shared || p.Over() {
+			if j.PartAt(p.Worker) < 0 || p.Over() {
 				continue
 			}
 			command := crank.Command{Attempt: id, Token: victim.Attempt.Token, Epoch: p.Epoch}
@@ -150,7 +150,7 @@
 		if err != nil && final(err) {
 			return status, err
 		}
-		if pause(ctx, stopPoll); ctx.Err() != nil {
+		if crankstream.Pause(ctx, stopPoll); ctx.Err() != nil {
 			return status, crank.Wrap("part stop", crank.KindUnknown, ctx.Err())
 		}
 	}
@@ -176,7 +176,7 @@
 		if err == nil || final(err) {
 			return err
 		}
-		if pause(call, reservePoll); call.Err() != nil {
+		if crankstream.Pause(call, reservePoll); call.Err() != nil {
 			return err
 		}
 	}
@@ -203,7 +203,7 @@
 		if err == nil || final(err) {
 			return err
 		}
-		if pause(call, reservePoll); call.Err() != nil {
+		if crankstream.Pause(call, reservePoll); call.Err() != nil {
 			return s.startedAfterAll(ctx, p, err)
 		}
 	}
@@ -275,12 +275,3 @@
 	w, _ := s.Box.View().State.Worker(id)
 	return s.Workers.Worker(w.Addr)
 }
-
-func partAt(j crankfold.Job, worker string) (crankfold.Part, bool) {
-	for _, p := range j.Attempt.Parts {
-		if p.Worker == worker {
-			return p, true
-		}
-	}
-	return crankfold.Part{}, false
-}
--- a/internal/crankfold/end.go
+++ b/internal/crankfold/end.go
@@ -14,7 +14,7 @@
 	if !ok || j.Attempt.Number != r.Status.Attempt.Number || !r.Status.State.Ended() {
 		return s, reject(p, crank.KindConflict, "the attempt is not the current one")
 	}
-	i := j.partAt(r.Worker)
+	i := j.PartAt(r.Worker)
 	if i < 0 || j.Attempt.Parts[i].State.Ended() {
 		return s, reject(p, crank.KindConflict, "the part has ended already")
 	}
@@ -84,7 +84,7 @@
 		if !ok {
 			continue
 		}
-		i := j.partAt(r.Worker)
+		i := j.PartAt(r.Worker)
 		part := j.Attempt.Parts[i]
 		part.Lost = true
 		s = s.leave(part.Part, j)
--- a/internal/crankfold/job.go
+++ b/internal/crankfold/job.go
@@ -101,8 +101,8 @@
 	return j
 }
 
-// partAt returns the index of the part at a worker, or -1.
-func (j Job) partAt(worker string) int {
+// PartAt returns the index of the part at a worker, or -1.
+func (j Job) PartAt(worker string) int {
 	for i, p := range j.Attempt.Parts {
 		if p.Worker == worker {
 			return i
--- a/internal/crankkeep/watch.go
+++ b/internal/crankkeep/watch.go
@@ -40,7 +40,7 @@
 	for ctx.Err() == nil {
 		if err := w.renew(ctx); err != nil && ctx.Err() == nil {
 			w.checkLost(ctx)
-			pause(ctx, retryDelay)
+			crankstream.Pause(ctx, retryDelay)
 		}
 	}
 }
@@ -223,7 +223,7 @@
 				w.stop(ctx, j, p)
 			}
 		})
-		pause(ctx, stopPeriod)
+		crankstream.Pause(ctx, stopPeriod)
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -239,10 +239,3 @@
 		w.Logger.Warn("keep: stop failed", "worker", w.id, "job", j.Job, "error", err)
 	}
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/crankmembers/members.go
+++ b/internal/crankmembers/members.go
@@ -39,14 +39,13 @@
 // Tracker reads the list again and again.
 type Tracker struct {
 	Config
-	mu      sync.Mutex
-	view    View
-	changed chan struct{}
+	mu   sync.Mutex
+	view View
 }
 
 // NewTracker returns a tracker with an empty view.
 func NewTracker(c Config) *Tracker {
-	return &Tracker{Config: c, changed: make(chan struct{})}
+	return &Tracker{Config: c}
 }
 
 // View returns the newest view.
@@ -94,8 +93,6 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.view = v
-	close(t.changed)
-	t.changed = make(chan struct{})
 	return nil
 }
 
--- a/internal/crankstream/follower.go
+++ b/internal/crankstream/follower.go
@@ -44,7 +44,7 @@
 	for ctx.Err() == nil {
 		if err := f.step(ctx); err != nil && ctx.Err() == nil {
 			f.Logger.Warn("stream: read failed", "error", err)
-			pause(ctx, retryDelay)
+			Pause(ctx, retryDelay)
 		}
 	}
 	return nil
@@ -134,10 +134,3 @@
 	}
 	return box.Wait(ctx, func(v crankbox.View) bool { return v.Ready && v.State.Next >= batch.End })
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- /dev/null
+++ b/internal/crankstream/pause.go
@@ -0,0 +1,14 @@
+package crankstream
+
+import (
+	"context"
+	"time"
+)
+
+// Pause waits for a time, or until the context ends.
+func Pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
--- a/internal/crankstream/writer.go
+++ b/internal/crankstream/writer.go
@@ -215,7 +215,7 @@
 	}
 	delivery := &delivery{batch: batch, data: data}
 	for !w.deliver(ctx, delivery) {
-		pause(ctx, retryDelay)
+		Pause(ctx, retryDelay)
 	}
 }
 
@@ -240,7 +240,7 @@
 	}
 	w.Logger.Warn("stream: append failed", "sequence", w.sequence, "error", err)
 	if !d.uncertain {
-		pause(ctx, retryDelay)
+		Pause(ctx, retryDelay)
 		w.requeue(d)
 		return true
 	}
--- a/internal/crankterm/term.go
+++ b/internal/crankterm/term.go
@@ -71,7 +71,7 @@
 		default:
 			p.claim(ctx, view.State)
 		}
-		pause(ctx, roundGap)
+		crankstream.Pause(ctx, roundGap)
 		select {
 		case <-changed:
 		case <-time.After(crank.PlanPeriod):
@@ -178,10 +178,3 @@
 	}
 	p.Logger.Info("plan: snapshot written", "next", s.Next, "bytes", size)
 }
-
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/proofs/crankproof/caller_test.go
+++ b/proofs/crankproof/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -121,7 +122,7 @@
 	for id := range c.entries {
 		ids = append(ids, id)
 	}
-	sortStrings(ids)
+	slices.Sort(ids)
 	return c.entries[ids[n%len(ids)]]
 }
 
--- a/proofs/crankproof/fault_test.go
+++ b/proofs/crankproof/fault_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sort"
 	"time"
 
 	crank "cranberrycrank"
@@ -220,5 +219,3 @@
 		c.history.acceptVersion(versionAccepted{at: confirmation.Accepted, version: confirmation.Version})
 	}
 }
-
-func sortStrings(list []string) { sort.Strings(list) }
