--- a/cmd/internal/crankcli/cli.go
+++ b/cmd/internal/crankcli/cli.go
@@ -41,6 +41,7 @@
 func Run(ctx context.Context, c Config) int {
 	return int(execute(ctx, c, programName, c.Args,
 		&serveCommand{env: c},
+		&entryCommand{env: c},
 		&checkCommand{env: c},
 		&versionCommand{env: c},
 		&group{env: c, name: "config", synopsis: "publish and show the configuration", commands: configCommands(c)},
--- /dev/null
+++ b/cmd/internal/crankcli/entry.go
@@ -0,0 +1,218 @@
+package crankcli
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"strconv"
+	"syscall"
+	"time"
+
+	"cranberrycrank/internal/crankconf"
+	"cranberrycrank/internal/crankentry"
+	"cranberrycrank/internal/cranklog"
+	"cranberrycrank/internal/crankuptime"
+	crankadapter "cranberrycrank/platform"
+
+	"github.com/google/subcommands"
+	"github.com/oklog/run"
+)
+
+// entryCommand runs an entry instance in front of leased workers.
+type entryCommand struct {
+	env      Config
+	settings string
+}
+
+// Name implements subcommands.Command.
+func (*entryCommand) Name() string { return "entry" }
+
+// Synopsis implements subcommands.Command.
+func (*entryCommand) Synopsis() string {
+	return "run an entry instance in front of the platform's leased workers"
+}
+
+// Usage implements subcommands.Command.
+func (*entryCommand) Usage() string {
+	return "entry -settings file\n  run an entry instance on the users' platform until SIGTERM; SIGHUP reads the settings again\n"
+}
+
+// SetFlags implements subcommands.Command.
+func (c *entryCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.settings, "settings", "", "settings of the process")
+}
+
+// Execute implements subcommands.Command.
+func (c *entryCommand) Execute(ctx context.Context, _ *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	settings, err := crankconf.ReadEntrySettings(c.settings)
+	if err != nil {
+		fmt.Fprintln(c.env.Err, err)
+		return exitInvalid
+	}
+	out := cranklog.NewWriter(c.env.Out)
+	defer out.Close()
+	level := new(slog.LevelVar)
+	level.Set(settings.LogLevel)
+	logger := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})).With("instance", settings.Instance)
+	p := &entryProcess{path: c.settings, settings: settings, level: level, logger: logger}
+	if err := p.run(ctx); err != nil {
+		logger.Error("entry: failed", "error", err)
+		return exitFailure
+	}
+	return exitOK
+}
+
+// entryProcess is a running entry instance with its listeners.
+type entryProcess struct {
+	path     string
+	settings crankconf.EntrySettings
+	level    *slog.LevelVar
+	logger   *slog.Logger
+	entry    *crankentry.Entry
+	front    *http.Server
+}
+
+// Times of the process.
+const (
+	drainNotice      = 2500 * time.Millisecond // the balancer needs two misses of a check made each second
+	shutdownMargin   = 300 * time.Millisecond  // kept of the drain timeout for the end of the process
+	frontHeaderLimit = 3 * time.Second         // until a configuration names another
+	frontIdleLimit   = 15 * time.Second        // until a configuration names another
+	settingsPeriod   = 2 * time.Second         // between looks at the settings file
+)
+
+func (p *entryProcess) run(ctx context.Context) error {
+	metrics := newMetrics(p.logger)
+	defer metrics.closer.Close()
+	client := crankadapter.NewClient()
+	p.entry = crankentry.New(crankentry.Config{
+		Instance:        p.settings.Instance,
+		Store:           crankadapter.NewStore(client, p.settings.Store),
+		Workers:         crankadapter.DialWorkers(client),
+		DecodeWorker:    crankadapter.DecodeWorker,
+		DecodeOperator:  crankadapter.DecodeOperator,
+		Bounds:          p.settings.Bounds,
+		ResultRetention: p.settings.Retention,
+		Uptime:          crankuptime.Read,
+		Logger:          p.logger,
+		Scope:           metrics.scope,
+	})
+	p.logger.Info("entry: started", "version", Version, "settings", p.path, "listen", p.settings.Listen, "store", p.settings.Store)
+	p.front = newServer(p.settings.Listen, p.closing(crankadapter.NewFront(p.entry.Gate, p.logger)))
+	p.front.ReadHeaderTimeout, p.front.IdleTimeout = frontHeaderLimit, frontIdleLimit
+	host, _, err := net.SplitHostPort(p.settings.Listen)
+	if err != nil {
+		return err
+	}
+	metricsServer := newServer(net.JoinHostPort(host, strconv.Itoa(p.settings.MetricsPort)), metrics.handler)
+
+	var g run.Group
+	planner, stopPlanner := context.WithCancel(ctx)
+	feeds, stopFeeds := context.WithCancel(ctx)
+	plannerDone := make(chan struct{})
+	g.Add(func() error {
+		p.awaitSignal(ctx, func() {
+			stopPlanner()
+			<-plannerDone
+		})
+		return nil
+	}, func(error) {})
+	// The planner ends with the first signal and must not end the group.
+	g.Add(func() error {
+		err := p.entry.RunPlanner(planner)
+		close(plannerDone)
+		<-feeds.Done()
+		return err
+	}, func(error) { stopPlanner() })
+	g.Add(func() error { return p.entry.RunFeeds(feeds) }, func(error) { stopFeeds() })
+	addServer(&g, p.front)
+	addServer(&g, newServer(p.settings.ReadyListen, crankadapter.NewReady(p.entry.Ready)))
+	addServer(&g, metricsServer)
+	err = g.Run()
+	p.logger.Info("entry: stopped", "error", err)
+	return err
+}
+
+// closing asks callers to close their connections while the instance drains.
+func (p *entryProcess) closing(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.entry.Draining() {
+			w.Header().Set("Connection", "close")
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+// awaitSignal reloads the settings until a signal asks for the end, then
+// drains.
+func (p *entryProcess) awaitSignal(ctx context.Context, stopPlanner func()) {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGHUP)
+	ticker := time.NewTicker(settingsPeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case received := <-signals:
+			if received == syscall.SIGHUP {
+				p.reload("signal")
+				continue
+			}
+			p.drain(received, stopPlanner)
+			return
+		case <-ticker.C:
+			p.reload("")
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// reload takes up what may change while the process runs. Faulty settings
+// leave the old ones in force.
+func (p *entryProcess) reload(cause string) {
+	s, err := crankconf.ReadEntrySettings(p.path)
+	if err != nil {
+		p.logger.Warn("entry: settings not taken up, the old ones stay in force", "cause", cause, "error", err)
+		return
+	}
+	if s == p.settings {
+		if cause != "" {
+			p.logger.Info("entry: settings read again, nothing changed", "cause", cause)
+		}
+		return
+	}
+	p.level.Set(s.LogLevel)
+	p.logger.Info("entry: settings taken up", "cause", cause, "level", s.LogLevel, "needs-restart", s.Listen != p.settings.Listen || s.Store != p.settings.Store)
+	p.settings = s
+}
+
+// drain hands the planner's term over and ends without cutting a request off:
+// until the balancer has noticed, requests are still served.
+func (p *entryProcess) drain(received os.Signal, stopPlanner func()) {
+	begun := time.Now()
+	p.logger.Info("entry: draining", "signal", received.String())
+	p.entry.Drain()
+	handedOver := make(chan struct{})
+	go func() {
+		stopPlanner()
+		close(handedOver)
+	}()
+	end := begun.Add(p.settings.DrainTimeout - shutdownMargin)
+	time.Sleep(min(drainNotice, time.Until(end)/2))
+	ctx, cancel := context.WithDeadline(context.Background(), end)
+	defer cancel()
+	if err := p.front.Shutdown(ctx); err != nil && !errors.Is(err, http.ErrServerClosed) {
+		p.logger.Warn("entry: requests were cut off", "error", err)
+	}
+	select {
+	case <-handedOver:
+	case <-ctx.Done():
+	}
+	p.logger.Info("entry: drained", "took", time.Since(begun).Round(time.Millisecond))
+}
--- a/cmd/internal/crankcli/serve.go
+++ b/cmd/internal/crankcli/serve.go
@@ -21,9 +21,7 @@
 
 	"github.com/google/subcommands"
 	"github.com/oklog/run"
-	prom "github.com/prometheus/client_golang/prometheus"
 	"github.com/uber-go/tally/v4"
-	"github.com/uber-go/tally/v4/prometheus"
 )
 
 // serveCommand runs an entry instance.
@@ -89,17 +87,7 @@
 )
 
 func newInstance(s crankconf.Settings, logger *slog.Logger) *instance {
-	reporter := prometheus.NewReporter(prometheus.Options{
-		Registerer:      prom.NewRegistry(),
-		OnRegisterError: func(err error) { logger.Warn("metrics: registration failed", "error", err) },
-	})
-	scope, closer := tally.NewRootScope(tally.ScopeOptions{
-		Prefix:                 "crank",
-		CachedReporter:         reporter,
-		Separator:              prometheus.DefaultSeparator,
-		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
-		OmitCardinalityMetrics: true,
-	}, time.Second)
+	metrics := newMetrics(logger)
 	log := crankplatform.NewLog(s.Log)
 	node := cranknode.New(cranknode.Config{
 		Instance:       s.Instance,
@@ -111,7 +99,7 @@
 		Logger:         logger,
 		SnapshotPeriod: s.SnapshotPeriod,
 	})
-	api := crankhttp.New(crankhttp.Config{Node: node, OperatorKey: s.OperatorKey, Logger: logger, Scope: scope, Metrics: reporter.HTTPHandler()})
+	api := crankhttp.New(crankhttp.Config{Node: node, OperatorKey: s.OperatorKey, Logger: logger, Scope: metrics.scope, Metrics: metrics.handler})
 	peers := crankpeer.NewHandler(crankpeer.ServerConfig{Log: log, Status: node.Status, Key: s.PeerKey})
 	return &instance{
 		settings: s,
@@ -119,8 +107,8 @@
 		node:     node,
 		public:   newServer(s.Listen, api),
 		peers:    newServer(s.PeerListen, peers),
-		scope:    scope,
-		closer:   closer,
+		scope:    metrics.scope,
+		closer:   metrics.closer,
 	}
 }
 
--- a/errors.go
+++ b/errors.go
@@ -20,6 +20,8 @@
 	KindUnavailable Kind = "unavailable" // certainly not done, a later retry may help
 	KindExpired     Kind = "expired"     // the records asked for are no longer kept
 	KindLimited     Kind = "limited"     // a limit or quota is reached
+	KindDenied      Kind = "denied"      // the caller may not do this
+	KindFenced      Kind = "fenced"      // a newer holder has taken over
 )
 
 // Errors is the namespace of the causes that this project creates.
--- /dev/null
+++ b/internal/crankentry/entry.go
@@ -0,0 +1,117 @@
+// Package crankentry runs one entry instance in front of leased workers.
+//
+//	caller -> gate -> writer -> job topic -> book (at every instance)
+//	operator topic -> board (at every instance)
+//	term topic -> elector -> scheduler (at the holder of the term) -> workers
+//
+// All instances are alike and keep nothing; what lasts lies in the store.
+package crankentry
+
+import (
+	"context"
+	"crypto/rand"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankboard"
+	"cranberrycrank/internal/crankbook"
+	"cranberrycrank/internal/crankfeed"
+	"cranberrycrank/internal/crankfleet"
+	"cranberrycrank/internal/crankgate"
+	"cranberrycrank/internal/cranklead"
+	"cranberrycrank/internal/cranksched"
+
+	"github.com/oklog/run"
+	"github.com/uber-go/tally/v4"
+)
+
+// Config sets up an Entry.
+type Config struct {
+	Instance        string
+	Store           crank.Store
+	Workers         crank.LeaseDialer
+	DecodeWorker    crankfleet.Decoder
+	DecodeOperator  crankboard.Decoder
+	Bounds          crank.LeaseBounds
+	ResultRetention time.Duration // ended jobs are kept this long
+	Uptime          crank.Uptime
+	Logger          *slog.Logger
+	Scope           tally.Scope
+}
+
+// Times of the feeds.
+const (
+	operatorWait = 600 * time.Millisecond // bounds the age of the configuration while nothing is published
+	bookWait     = 500 * time.Millisecond // bounds the age of the book while nothing happens
+	bookGap      = 200 * time.Millisecond // an instance that does not plan reads at most so often
+	plannerGap   = 15 * time.Millisecond  // the planner reads at most so often
+	// retentionMargin is added to the retention: instances learn of ends at
+	// different times.
+	retentionMargin = 60 * time.Second
+)
+
+// Entry is one entry instance.
+type Entry struct {
+	Config
+	Gate     *crankgate.Gate
+	book     *crankbook.Book
+	writer   *crankfeed.Writer
+	elector  *cranklead.Elector
+	feeds    []*crankfeed.Follower
+	leading  atomic.Bool
+	draining atomic.Bool
+}
+
+// New returns an entry. It works while Run runs.
+func New(c Config) *Entry {
+	life := c.Instance + "." + rand.Text()
+	e := &Entry{Config: c, book: crankbook.New(c.Logger)}
+	board := crankboard.New(c.DecodeOperator, c.Logger)
+	e.writer = crankfeed.NewWriter(crankfeed.WriterConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Producer: life, Epoch: 1})
+	e.Gate = crankgate.New(crankgate.Config{Board: board, Book: e.book, Writer: e.writer, Logger: c.Logger, Scope: c.Scope})
+	e.feeds = []*crankfeed.Follower{
+		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.OperatorTopic, Logger: c.Logger, Wait: operatorWait, Sink: board}),
+		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Wait: bookWait, Gap: e.bookGap, Sink: e.book}),
+	}
+	e.elector = cranklead.New(cranklead.Config{Life: life, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.Holding) {
+		e.leading.Store(true)
+		defer e.leading.Store(false)
+		cranksched.New(cranksched.Config{
+			Term: h.Number, Holding: h, Store: c.Store, Book: e.book, Board: board, Decode: c.DecodeWorker, Workers: c.Workers,
+			Bounds: c.Bounds, Grace: cranklead.Grace, Retention: c.ResultRetention + retentionMargin, Logger: c.Logger, Scope: c.Scope,
+		}).Run(ctx)
+	}})
+	return e
+}
+
+func (e *Entry) bookGap() time.Duration {
+	if e.leading.Load() {
+		return plannerGap
+	}
+	return bookGap
+}
+
+// Ready reports whether this instance takes requests.
+func (e *Entry) Ready() bool { return !e.draining.Load() && e.Gate.Ready() }
+
+// Draining reports whether the instance is about to stop.
+func (e *Entry) Draining() bool { return e.draining.Load() }
+
+// Drain makes the instance report that it is not ready.
+func (e *Entry) Drain() { e.draining.Store(true) }
+
+// RunPlanner takes part in planning until the context ends, then hands the
+// term over.
+func (e *Entry) RunPlanner(ctx context.Context) error { return e.elector.Run(ctx) }
+
+// RunFeeds reads and writes the store until the context ends.
+func (e *Entry) RunFeeds(ctx context.Context) error {
+	var g run.Group
+	for _, part := range []func(context.Context) error{e.feeds[0].Run, e.feeds[1].Run, e.writer.Run} {
+		call, cancel := context.WithCancel(ctx)
+		g.Add(func() error { return part(call) }, func(error) { cancel() })
+	}
+	return g.Run()
+}
