--- a/cmd/internal/crankcli/entry.go
+++ b/cmd/internal/crankcli/entry.go
@@ -59,7 +59,7 @@
 	defer out.Close()
 	level := new(slog.LevelVar)
 	level.Set(settings.LogLevel)
-	logger := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level})).With("instance", settings.Instance)
+	logger := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: readableTimes})).With("instance", settings.Instance)
 	p := &entryProcess{path: c.settings, settings: settings, level: level, logger: logger}
 	if err := p.run(ctx); err != nil {
 		logger.Error("entry: failed", "error", err)
@@ -68,6 +68,14 @@
 	return exitOK
 }
 
+// readableTimes logs durations with their unit.
+func readableTimes(_ []string, a slog.Attr) slog.Attr {
+	if a.Value.Kind() == slog.KindDuration {
+		a.Value = slog.StringValue(a.Value.Duration().Round(time.Millisecond).String())
+	}
+	return a
+}
+
 // entryProcess is a running entry instance with its listeners.
 type entryProcess struct {
 	path     string
--- a/internal/cranksched/evidence.go
+++ b/internal/cranksched/evidence.go
@@ -62,17 +62,9 @@
 		return
 	}
 	limit := max(stillTime, stillChunks*p.step.RunTime/100)
-	if now.Sub(p.moved) < limit {
+	if now.Sub(p.lastMove()) < limit {
 		return
 	}
-	if p.step.Gang {
-		for _, m := range p.task.members() {
-			if m.done || m.place == nil || m.place.state != running {
-				p.moved = now // it waits for the other members
-				return
-			}
-		}
-	}
 	r := s.recordOf(p.worker)
 	r.still++
 	s.shun(p.worker, "a run stands still", r.still)
@@ -81,6 +73,21 @@
 	s.stopRun(p, "it stands still")
 }
 
+// lastMove returns when a run last made progress. The members of a gang work
+// together, and one that is ready waits for the others.
+func (p *placement) lastMove() time.Time {
+	moved := p.moved
+	if !p.step.Gang {
+		return moved
+	}
+	for _, m := range p.task.members() {
+		if m.place != nil && m.place.moved.After(moved) {
+			moved = m.place.moved
+		}
+	}
+	return moved
+}
+
 func (t *task) avoid(worker string) {
 	if t.shun == nil {
 		t.shun = make(map[string]bool)
--- a/step.go
+++ b/step.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"log/slog"
 	"time"
 )
 
@@ -69,6 +70,9 @@
 	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
 }
 
+// LogValue implements slog.LogValuer.
+func (t TaskID) LogValue() slog.Value { return slog.StringValue(t.String()) }
+
 // Occurrences returns how often the steps run, at least once.
 func (j StepJob) Occurrences() int { return max(1, j.Repeat.Times) }
 
