Let an instance claim the term of its own former life

Cause: after a power loss of all instances nobody planned for two seconds, until the silence of the former holder was long enough. The former holder is known to be over as soon as its own instance runs again.

--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -66,16 +66,15 @@
 
 // New returns an entry. It works while Run runs.
 func New(c Config) *Entry {
-	life := c.Instance + "." + rand.Text()
 	e := &Entry{Config: c, book: crankbook.New(c.Logger)}
 	board := crankboard.New(c.DecodeOperator, c.Logger)
-	e.writer = crankfeed.NewWriter(crankfeed.WriterConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Producer: life, Epoch: 1})
+	e.writer = crankfeed.NewWriter(crankfeed.WriterConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Producer: c.Instance + "/" + rand.Text(), Epoch: 1})
 	e.Gate = crankgate.New(crankgate.Config{Board: board, Book: e.book, Writer: e.writer, Logger: c.Logger, Scope: c.Scope})
 	e.feeds = []*crankfeed.Follower{
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.OperatorTopic, Logger: c.Logger, Wait: operatorWait, Sink: board}),
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Wait: bookWait, Gap: e.bookGap, Sink: e.book}),
 	}
-	e.elector = cranklead.New(cranklead.Config{Life: life, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.Holding) {
+	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.Holding) {
 		e.leading.Store(true)
 		defer e.leading.Store(false)
 		cranksched.New(cranksched.Config{
--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -8,9 +8,11 @@
 
 import (
 	"context"
+	"crypto/rand"
 	"encoding/json"
 	"log/slog"
-	"math/rand/v2"
+	mathrand "math/rand/v2"
+	"strings"
 	"sync"
 	"time"
 
@@ -39,6 +41,9 @@
 	pulseKey = "pulse"
 )
 
+// lifeSeparator stands between an instance and the name of one life of it.
+const lifeSeparator = "/"
+
 // Term is the planner's role as it was last claimed.
 type Term struct {
 	Number   int64  `json:"number"` // 0 before the first
@@ -53,10 +58,10 @@
 
 // Config sets up an Elector.
 type Config struct {
-	Life   string // identity of this life of the instance
-	Store  crank.Store
-	Logger *slog.Logger
-	Uptime crank.Uptime
+	Instance string // no two instances have the same
+	Store    crank.Store
+	Logger   *slog.Logger
+	Uptime   crank.Uptime
 	// Lead works as the planner until the context ends.
 	Lead func(ctx context.Context, h *Holding)
 }
@@ -77,6 +82,7 @@
 // Elector follows the term topic and leads when it holds the term.
 type Elector struct {
 	Config
+	Life     string // identity of this life of the instance
 	feed     *crankfeed.Follower
 	mu       sync.Mutex
 	term     Term
@@ -92,7 +98,7 @@
 
 // New returns an elector. It works while Run runs.
 func New(c Config) *Elector {
-	e := &Elector{Config: c, changed: make(chan struct{}, 1)}
+	e := &Elector{Config: c, Life: c.Instance + lifeSeparator + rand.Text(), changed: make(chan struct{}, 1)}
 	e.feed = crankfeed.NewFollower(crankfeed.FollowerConfig{
 		Store: c.Store, Topic: crank.TermTopic, Logger: c.Logger, Wait: readWait, Gap: crankfeed.Every(readGap), Sink: e,
 	})
@@ -197,11 +203,18 @@
 func (e *Elector) claimable() (next Term, at crank.Offset, ok bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	over := e.term.Number == 0 || e.term.Released || (e.term.Holder == e.Life && e.term.Number <= e.resigned) || time.Since(e.sign) > Silence
+	over := e.term.Number == 0 || e.term.Released || time.Since(e.sign) > Silence ||
+		(e.term.Holder == e.Life && e.term.Number <= e.resigned) || e.formerLife(e.term.Holder)
 	fresh := e.loaded && time.Since(e.lastRead) < readWait+callTimeout
 	return Term{Number: e.term.Number + 1, Holder: e.Life}, e.end, over && fresh
 }
 
+// formerLife reports whether a holder was an earlier life of this instance,
+// which is over since this one runs.
+func (e *Elector) formerLife(holder string) bool {
+	return holder != e.Life && strings.HasPrefix(holder, e.Instance+lifeSeparator)
+}
+
 // Run takes part until the context ends, then gives the term up.
 func (e *Elector) Run(ctx context.Context) error {
 	feedContext, stopFeed := context.WithCancel(context.WithoutCancel(ctx))
@@ -230,7 +243,7 @@
 // claim appends a claim unless somebody else is first. Whether it was stored
 // is learned by reading.
 func (e *Elector) claim(ctx context.Context, next Term, at crank.Offset) {
-	crankfeed.Pause(ctx, rand.N(claimSpread))
+	crankfeed.Pause(ctx, mathrand.N(claimSpread))
 	again, end, ok := e.claimable()
 	if !ok || again != next || end != at {
 		return
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -132,7 +132,11 @@
 		s.finish(t, run)
 		return
 	}
+	endBy := time.Now().Add(gangEndTime)
 	for _, m := range t.members() {
+		if m.place != nil {
+			m.place.endBy = endBy
+		}
 		s.finish(m, run)
 	}
 }
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -42,7 +42,7 @@
 // round stops what has to stop and starts what fits.
 func (s *Scheduler) round() {
 	now := time.Now()
-	s.stopEnding()
+	s.stopEnding(now)
 	board := s.Board.View()
 	floors := s.floors(board.Out, now)
 	units := s.units(now)
@@ -61,13 +61,13 @@
 }
 
 // stopEnding stops what runs of jobs that have ended.
-func (s *Scheduler) stopEnding() {
+func (s *Scheduler) stopEnding(now time.Time) {
 	for _, j := range s.jobs {
 		if !j.ending() {
 			continue
 		}
 		for _, t := range j.tasks {
-			if t.place != nil {
+			if t.place != nil && !t.place.ending(now) {
 				s.stopRun(t.place, "its job has ended")
 			}
 		}
@@ -77,6 +77,12 @@
 	}
 }
 
+// ending reports whether a member of a gang that is done ends by itself: the
+// other members list the same end.
+func (p *placement) ending(now time.Time) bool {
+	return p.task.done && p.step.Gang && now.Before(p.endBy)
+}
+
 // floors returns the room of each pool.
 func (s *Scheduler) floors(out map[string]bool, now time.Time) map[string]*crankpack.Floor {
 	rooms := make(map[string][]*crankpack.Room)
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -70,6 +70,7 @@
 	startWindow    = 1600 * time.Millisecond // a start is refused by the worker later than this
 	stopTimeout    = 600 * time.Millisecond  // of one try of a stop
 	stopRetry      = 500 * time.Millisecond  // between tries of a stop that has no effect yet
+	gangEndTime    = 2 * time.Second         // the members of a gang that is done list their ends within one hold
 	writeRetry     = 100 * time.Millisecond  // after a refused write
 	unlistedGrace  = 2500 * time.Millisecond // an entry that lapsed while the store was away is back by then
 	sweepPeriod    = 5 * time.Second         // between removals of jobs that ended long ago
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -50,6 +50,7 @@
 	state   state
 	certain int64 // a report made later on the worker's clock lists the run if it is there
 	began   time.Time
+	endBy   time.Time // by then a run of a gang that is done has ended by itself
 	stopAt  time.Time // when the stop is tried again
 	reason  string    // of the stop
 	percent float64
