Keep the room of a start whose first try had no answer

The first try of a start had been carried out and its answer came too late; the second try was refused as late, and the planner took that for proof that nothing ran.

A refusal after a try without an answer now settles nothing; a report made after the order's time does. Test: TestRefusalAfterALostAnswerIsNoProof, which failed before. With it: the age of an idle topic is counted from the end of the store's wait, so that a job that is not there is answered with 410 and not 503 (TestServesJobsOfSeveralSteps).

--- a/internal/crankfeed/follower.go
+++ b/internal/crankfeed/follower.go
@@ -100,11 +100,20 @@
 		f.next = batch.Records[len(batch.Records)-1].Offset + 1
 	}
 	if f.next >= batch.End {
-		f.Sink.Reached(begun, f.next)
+		f.Sink.Reached(f.current(begun, len(batch.Records)), f.next)
 	}
 	return nil
 }
 
+// current returns a time at which the answer to a read was certainly true. The
+// store answers a read without records only after the whole wait.
+func (f *Follower) current(begun time.Time, records int) time.Time {
+	if records == 0 && time.Since(begun) >= f.Wait {
+		return begun.Add(f.Wait)
+	}
+	return begun
+}
+
 func (f *Follower) load(ctx context.Context) error {
 	call, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -33,55 +33,60 @@
 		"checkpoint", t.saved != "", "waited", time.Since(t.idle).Round(time.Millisecond), "until", order.Until)
 	client := p.worker.client
 	go func() {
-		reply, err := s.tryStart(client, order)
-		s.post(func() { s.takeStart(p, reply, err) })
+		reply, uncertain, err := s.tryStart(client, order)
+		s.post(func() { s.takeStart(p, reply, uncertain, err) })
 	}()
 }
 
 // tryStart repeats a start without an answer: the worker takes the second one
-// of two equal starts for the first.
-func (s *Scheduler) tryStart(client crank.LeasedWorker, order crank.RunOrder) (reply crank.OrderReply, err error) {
+// of two equal starts for the first. After a try without an answer the start
+// may have been carried out, whatever the next answer says.
+func (s *Scheduler) tryStart(client crank.LeasedWorker, order crank.RunOrder) (reply crank.OrderReply, uncertain bool, err error) {
 	for range startTries {
 		call, cancel := context.WithTimeout(s.ctx, startTimeout)
 		reply, err = client.Start(call, order)
 		cancel()
 		if kind := crank.KindOf(err); err == nil || kind == crank.KindUnavailable || kind == crank.KindNotFound || kind == crank.KindInvalid {
-			return reply, err
+			return reply, uncertain, err
 		}
+		uncertain = true
 	}
-	return reply, err
+	return reply, uncertain, err
 }
 
 // takeStart takes in what became of a start.
-func (s *Scheduler) takeStart(p *placement, reply crank.OrderReply, err error) {
+func (s *Scheduler) takeStart(p *placement, reply crank.OrderReply, uncertain bool, err error) {
 	if p.worker.places[p.id] != p {
 		return // it was resolved by a report
 	}
-	why := ""
-	switch kind := crank.KindOf(err); {
-	case err == nil && reply.Refusal == crank.RefusalNone:
+	if err == nil && reply.Refusal == crank.RefusalNone {
 		if p.state == ordered {
 			s.confirm(p, reply.Clock)
 		}
 		return
+	}
+	why := ""
+	switch kind := crank.KindOf(err); {
 	case err == nil && reply.Refusal == crank.RefusalFence:
 		s.Holding.Resign("worker " + p.worker.entry.ID + " has seen a higher fence")
 		why = "the fence was refused"
-	case err == nil:
-		why = "refused: " + string(reply.Refusal)
 	case kind == crank.KindNotFound:
 		why = "the worker's life is over"
+	case uncertain:
+		s.Logger.Warn("sched: start without an answer", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "until", p.certain, "last-refusal", reply.Refusal, "error", err)
+		if p.state == ordered && p.step.Gang {
+			s.stopRun(p, "a member's start has no answer")
+		}
+		return
+	case err == nil:
+		why = "refused: " + string(reply.Refusal)
 	case kind == crank.KindUnavailable:
 		why = "the worker is unhealthy"
 		p.worker.shunned = time.Now().Add(time.Second)
 	case kind == crank.KindInvalid:
 		why = "the order is invalid"
 	default:
-		s.Logger.Warn("sched: start without an answer", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "error", err)
-		if p.state == ordered && p.step.Gang {
-			s.stopRun(p, "a member's start has no answer")
-		}
-		return
+		why = "the order failed"
 	}
 	s.Logger.Warn("sched: start refused", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "why", why, "clock", reply.Clock, "until", p.certain, "error", err)
 	s.Scope.Tagged(map[string]string{"why": why}).Counter("starts_refused").Inc(1)
--- /dev/null
+++ b/proofs/crankentryproof/path_test.go
@@ -0,0 +1,259 @@
+package crankentryproof
+
+import (
+	"testing"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankbook"
+	"cranberrycrank/internal/crankgate"
+	"cranberrycrank/standin/crankfakefleet"
+	"cranberrycrank/standin/crankfakestore"
+
+	"github.com/matryer/is"
+)
+
+func TestServesJobsOfSeveralSteps(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(8)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		second := single(6, time.Second)
+		second.After = []int{0}
+		is.NoErr(c.submit("a", "patient", "job1", single(12, 2*time.Second), second))
+		is.NoErr(c.submit("b", "urgent", "job2", gang(4, 8, time.Second)))
+		c.await("c", "urgent", "job2", crankbook.PhaseCompleted, 3*time.Second)
+		c.await("c", "patient", "job1", crankbook.PhaseCompleted, 6*time.Second)
+		is.Equal(c.fleet.Runs(), 12+6+4)
+		_, err := c.phase("a", "patient", "nobody")
+		is.Equal(crank.KindOf(err), crank.KindExpired)
+	})
+}
+
+func TestSameSubmissionIsOneJob(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		for _, entry := range []string{"a", "b", "c"} {
+			is.NoErr(c.submit(entry, "urgent", "job1", gang(2, 4, time.Second)))
+		}
+		c.await("a", "urgent", "job1", crankbook.PhaseCompleted, 4*time.Second)
+		is.NoErr(c.submit("b", "urgent", "job1", gang(2, 4, time.Second)))
+		time.Sleep(3 * time.Second)
+		is.Equal(c.fleet.Runs(), 2)
+	})
+}
+
+func TestCancelledJobStopsAndStaysCancelled(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		is.NoErr(c.submit("a", "patient", "job1", single(8, time.Minute)))
+		time.Sleep(time.Second)
+		is.NoErr(c.cancel("b", "patient", "job1"))
+		c.await("c", "patient", "job1", crankbook.PhaseCancelled, time.Second)
+		// Its room is free: a job that needs all of it runs at once.
+		is.NoErr(c.submit("a", "urgent", "job2", gang(4, 8, time.Second)))
+		c.await("c", "urgent", "job2", crankbook.PhaseCompleted, 3*time.Second)
+	})
+}
+
+func TestHopelessJobFails(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.fleet.Fails = func(id crank.TaskID, _ int64, _ string) bool { return id.Job == "job1" }
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		is.NoErr(c.submit("a", "patient", "job1", single(2, time.Second)))
+		c.await("b", "patient", "job1", crankbook.PhaseFailed, 8*time.Second)
+	})
+}
+
+func TestUrgentGangPreemptsPatientWork(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		is.NoErr(c.submit("a", "patient", "job1", single(32, 20*time.Second)))
+		time.Sleep(2 * time.Second)
+		is.NoErr(c.submit("b", "urgent", "job2", gang(4, 8, time.Second)))
+		c.await("c", "urgent", "job2", crankbook.PhaseCompleted, 2700*time.Millisecond)
+		c.await("c", "patient", "job1", crankbook.PhaseCompleted, 40*time.Second)
+	})
+}
+
+func TestWorkerThatFailsEverythingIsShunned(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.fleet.Fails = func(_ crank.TaskID, _ int64, worker string) bool { return worker == "w00" }
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		for _, id := range []string{"job1", "job2", "job3", "job4", "job5", "job6"} {
+			is.NoErr(c.submit("a", "patient", id, single(2, 500*time.Millisecond)))
+			time.Sleep(time.Second)
+		}
+		for _, id := range []string{"job1", "job2", "job3", "job4", "job5", "job6"} {
+			c.await("a", "patient", id, crankbook.PhaseCompleted, 5*time.Second)
+		}
+	})
+}
+
+func TestStandstillIsNoticed(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(2)
+		c.fleet.Stuck = func(worker string) bool { return worker == "w00" }
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		is.NoErr(c.submit("a", "patient", "job1", single(4, time.Second)))
+		c.await("a", "patient", "job1", crankbook.PhaseCompleted, 9*time.Second)
+	})
+}
+
+func TestGangMemberThatIsReadyIsNoStandstill(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		slow := c.fleet.RunTime
+		c.fleet.RunTime = func(id crank.TaskID, worker string) time.Duration {
+			if worker == "w00" {
+				return 8 * slow(id, worker)
+			}
+			return slow(id, worker)
+		}
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		is.NoErr(c.submit("a", "urgent", "job1", gang(4, 8, time.Second)))
+		c.await("a", "urgent", "job1", crankbook.PhaseCompleted, 10*time.Second)
+		is.Equal(c.fleet.Runs(), 4)
+	})
+}
+
+func TestZoneOutOfServiceGetsNoStart(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(6)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		c.store.Put(crank.OperatorTopic, "z0", []byte("{}"))
+		time.Sleep(2 * time.Second)
+		c.fleet.Fails = func(id crank.TaskID, _ int64, worker string) bool {
+			if worker == "w00" || worker == "w03" {
+				t.Errorf("%s was started at %s", id, worker)
+			}
+			return false
+		}
+		is.NoErr(c.submit("a", "patient", "job1", single(40, time.Second)))
+		c.await("a", "patient", "job1", crankbook.PhaseCompleted, 8*time.Second)
+	})
+}
+
+func TestRefusesWhatItCannotJudge(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(1)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		c.set(func() { c.cut[c.entries["a"].caller] = true })
+		time.Sleep(crankgate.ConfigFreshness + 2*time.Second)
+		is.True(!c.entries["a"].Ready())
+		is.Equal(crank.KindOf(c.submit("a", "patient", "job1", single(1, time.Second))), crank.KindUnavailable)
+		c.set(func() { clear(c.cut) })
+		time.Sleep(3 * time.Second)
+		is.True(c.entries["a"].Ready())
+	})
+}
+
+func TestRefusedSubmissionNeverRuns(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		c.set(func() {
+			c.storage = func(_, call string) crankfakestore.Fault { return crankfakestore.Fault{Refuse: call == "append"} }
+		})
+		is.Equal(crank.KindOf(c.submit("a", "patient", "job1", single(1, time.Second))), crank.KindUnavailable)
+		c.set(func() { c.storage = nil })
+		time.Sleep(10 * time.Second)
+		is.Equal(c.fleet.Runs(), 0)
+	})
+}
+
+func TestUnansweredAppendIsRepeatedUntilKnown(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		lost := 0
+		c.set(func() {
+			c.storage = func(caller, call string) crankfakestore.Fault {
+				if call == "append" && caller == c.entries["a"].caller && lost < 2 {
+					lost++
+					return crankfakestore.Fault{Lose: true}
+				}
+				return crankfakestore.Fault{}
+			}
+		})
+		is.NoErr(c.submit("a", "patient", "job1", single(1, time.Second)))
+		c.await("b", "patient", "job1", crankbook.PhaseCompleted, 8*time.Second)
+		is.Equal(c.fleet.Runs(), 1)
+	})
+}
+
+func TestOrderCarriedOutLateRunsNothingTwice(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(8)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		n := 0
+		c.set(func() {
+			c.late = func(_, _, call string) crankfakefleet.Fault {
+				n++
+				if call != "hold" && n%3 == 0 {
+					return crankfakefleet.Fault{Late: time.Duration(2+n%10) * time.Second}
+				}
+				return crankfakefleet.Fault{}
+			}
+		})
+		is.NoErr(c.submit("a", "patient", "job1", single(30, 2*time.Second)))
+		is.NoErr(c.submit("b", "urgent", "job2", gang(4, 4, time.Second)))
+		time.Sleep(8 * time.Second)
+		c.set(func() { c.late = nil })
+		c.await("c", "patient", "job1", crankbook.PhaseCompleted, 20*time.Second)
+		c.await("c", "urgent", "job2", crankbook.PhaseCompleted, 20*time.Second)
+	})
+}
+
+// A start that got no answer may have been carried out, also when the second
+// try is refused.
+func TestRefusalAfterALostAnswerIsNoProof(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		tries := make(map[string]int)
+		c.set(func() {
+			c.late = func(_, worker, call string) crankfakefleet.Fault {
+				if call != "start" {
+					return crankfakefleet.Fault{}
+				}
+				tries[worker]++
+				return crankfakefleet.Fault{Lose: tries[worker]%2 == 1, Refuse: tries[worker]%2 == 0}
+			}
+		})
+		is.NoErr(c.submit("a", "patient", "job1", single(1, 4*time.Second)))
+		c.await("c", "patient", "job1", crankbook.PhaseCompleted, 20*time.Second)
+	})
+}
