Plan at 350 workers within a small instance's processor share

A profile of TestPlansForManyWorkers showed copies of the worker list at each event, and victims tried one by one.

In the proofs' stand-ins a lock order that could stop a test was mended.

--- a/cmd/internal/crankcli/entry.go
+++ b/cmd/internal/crankcli/entry.go
@@ -107,6 +107,7 @@
 		DecodeOperator:  crankadapter.DecodeOperator,
 		Bounds:          p.settings.Bounds,
 		ResultRetention: p.settings.Retention,
+		ProcessorShare:  p.settings.Share,
 		Uptime:          crankuptime.Read,
 		Logger:          p.logger,
 		Scope:           metrics.scope,
--- a/internal/crankconf/entry.go
+++ b/internal/crankconf/entry.go
@@ -13,10 +13,11 @@
 type EntrySettings struct {
 	Instance     string
 	Zone         string
-	Listen       string // callers
-	ReadyListen  string // the balancer's checks
-	MetricsPort  int    // on the address of Listen
-	Store        string // the platform's store
+	Listen       string  // callers
+	ReadyListen  string  // the balancer's checks
+	MetricsPort  int     // on the address of Listen
+	Share        float64 // of a processor that the process may use
+	Store        string  // the platform's store
 	Bounds       crank.LeaseBounds
 	Retention    time.Duration // ended jobs are told for so long
 	DrainTimeout time.Duration // between a SIGTERM and the end of the process
@@ -37,6 +38,8 @@
 const (
 	defaultMetricsPort = 7010
 	maxPort            = 65535
+	minShare           = 0.001
+	maxShare           = 1024
 	maxLease           = 10 * time.Minute
 	maxDrain           = 10 * time.Minute
 	maxRetention       = 14 * 24 * time.Hour
@@ -57,6 +60,7 @@
 		Listen:      instance.address("listen"),
 		ReadyListen: instance.address("ready-listen"),
 		MetricsPort: instance.integer("metrics-port", defaultMetricsPort, 1, maxPort),
+		Share:       instance.fraction("processor-share", 1, minShare, maxShare),
 		Store:       platform.address("store"),
 		Bounds: crank.LeaseBounds{
 			HoldLimit:   workers.duration("longest-lease", 0, 500*time.Millisecond, maxLease),
--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -36,6 +36,7 @@
 	DecodeOperator  crankboard.Decoder
 	Bounds          crank.LeaseBounds
 	ResultRetention time.Duration // ended jobs are kept this long
+	ProcessorShare  float64       // of a processor that the instance may use
 	Uptime          crank.Uptime
 	Logger          *slog.Logger
 	Scope           tally.Scope
@@ -74,7 +75,7 @@
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.OperatorTopic, Logger: c.Logger, Wait: operatorWait, Sink: board}),
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Wait: bookWait, Gap: e.bookGap, Sink: e.book}),
 	}
-	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.Holding) {
+	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, Share: c.ProcessorShare, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.Holding) {
 		e.leading.Store(true)
 		defer e.leading.Store(false)
 		cranksched.New(cranksched.Config{
--- a/internal/crankfleet/list.go
+++ b/internal/crankfleet/list.go
@@ -26,6 +26,7 @@
 	mu      sync.Mutex
 	entries map[string]crank.WorkerEntry // by identity
 	fresh   time.Time
+	version int64 // grows with every change that matters to a planner
 }
 
 // NewList returns an empty list.
@@ -40,6 +41,7 @@
 func (l *List) Reset(records []crank.KeyedRecord) {
 	l.mu.Lock()
 	l.entries = make(map[string]crank.WorkerEntry)
+	l.version++
 	l.mu.Unlock()
 	l.Apply(records)
 }
@@ -67,12 +69,14 @@
 	if _, ok := l.entries[r.Key]; ok {
 		l.logger.Info("list: worker gone", "worker", r.Key, "offset", r.Offset)
 		delete(l.entries, r.Key)
+		l.version++
 	}
 }
 
 func (l *List) put(e crank.WorkerEntry, r crank.KeyedRecord) {
 	old, known := l.entries[e.ID]
-	if !known || Life(old) != Life(e) || old.Draining != e.Draining {
+	if !known || old.Born != e.Born || old.Addr != e.Addr || old.Draining != e.Draining || old.Capacity != e.Capacity {
+		l.version++
 		l.logger.Info("list: worker seen", "worker", e.ID, "born", e.Born, "addr", e.Addr, "zone", e.Zone, "draining", e.Draining, "offset", r.Offset)
 	}
 	l.entries[e.ID] = e
@@ -85,9 +89,17 @@
 	l.fresh = at
 }
 
-// Entries returns the listed workers by identity, and since when that is true.
-func (l *List) Entries() (map[string]crank.WorkerEntry, time.Time) {
+// Version returns a number that grows with the list, and whether the list was
+// ever read.
+func (l *List) Version() (version int64, read bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return maps.Clone(l.entries), l.fresh
+	return l.version, !l.fresh.IsZero()
+}
+
+// Entries returns the listed workers by identity.
+func (l *List) Entries() map[string]crank.WorkerEntry {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return maps.Clone(l.entries)
 }
--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -24,7 +24,8 @@
 const (
 	PulsePeriod = 500 * time.Millisecond  // between two signs of life
 	Silence     = 2000 * time.Millisecond // without a sign of life the term is over; four missed pulses
-	claimSpread = 300 * time.Millisecond  // claims are spread over this time, so that few collide
+	claimSpread = 100 * time.Millisecond  // claims are spread over this time, so that few collide
+	claimYield  = 400 * time.Millisecond  // an instance with no processor to spare lets others claim for so long
 	claimPeriod = 500 * time.Millisecond  // between two claims of one instance
 	readWait    = 1 * time.Second         // longest wait of one read
 	readGap     = 100 * time.Millisecond  // shortest time between two reads
@@ -58,7 +59,8 @@
 
 // Config sets up an Elector.
 type Config struct {
-	Instance string // no two instances have the same
+	Instance string  // no two instances have the same
+	Share    float64 // of a processor that the instance may use; those with more claim first
 	Store    crank.Store
 	Logger   *slog.Logger
 	Uptime   crank.Uptime
@@ -243,7 +245,7 @@
 // claim appends a claim unless somebody else is first. Whether it was stored
 // is learned by reading.
 func (e *Elector) claim(ctx context.Context, next Term, at crank.Offset) {
-	crankfeed.Pause(ctx, mathrand.N(claimSpread))
+	crankfeed.Pause(ctx, mathrand.N(claimSpread)+time.Duration(float64(claimYield)*(1-min(1, e.Share))))
 	again, end, ok := e.claimable()
 	if !ok || again != next || end != at {
 		return
--- a/internal/crankpack/preempt.go
+++ b/internal/crankpack/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"sort"
 
 	crank "cranberrycrank"
 )
@@ -57,14 +58,13 @@
 	slices.SortStableFunc(useful, func(a, b Victim) int {
 		return cmp.Compare(a.Cost/a.freed(here).Cores(), b.Cost/b.freed(here).Cores())
 	})
-	var chosen []Victim
-	for _, v := range useful {
-		chosen = append(chosen, v)
-		if fits(rooms, q, chosen) {
-			return prune(rooms, q, chosen)
-		}
+	// More victims never make less room, so the fewest that do are found by
+	// bisection.
+	if !fits(rooms, q, useful) {
+		return nil
 	}
-	return nil
+	n := sort.Search(len(useful), func(n int) bool { return fits(rooms, q, useful[:n]) })
+	return prune(rooms, q, useful[:n])
 }
 
 func (v Victim) freed(here map[string]bool) crank.Demand {
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -65,6 +65,7 @@
 const (
 	tick           = 50 * time.Millisecond   // between looks at what is due
 	roundGap       = 10 * time.Millisecond   // between rounds, so that one answers several events
+	roundShare     = 5                       // rounds take at most one part in so many of the time
 	startTimeout   = 600 * time.Millisecond  // of one try of a start
 	startTries     = 2                       // tries of a start that gets no answer
 	startWindow    = 1600 * time.Millisecond // a start is refused by the worker later than this
@@ -73,6 +74,7 @@
 	gangEndTime    = 2 * time.Second         // the members of a gang that is done list their ends within one hold
 	writeRetry     = 100 * time.Millisecond  // after a refused write
 	unlistedGrace  = 2500 * time.Millisecond // an entry that lapsed while the store was away is back by then
+	syncPeriod     = 200 * time.Millisecond  // between looks at workers that left the list
 	sweepPeriod    = 5 * time.Second         // between removals of jobs that ended long ago
 	drift          = 1.03                    // a worker's clock may be 2% slow
 	takeoverMargin = 1 * time.Second         // added before an earlier holder's orders count as over
@@ -87,23 +89,26 @@
 	writer *crankfeed.Writer
 	ctx    context.Context
 
-	revision int64 // of the book, up to which jobs are taken over
-	jobs     map[string]*job
-	workers  map[string]*worker // by identity
-	dirty    map[string]*job    // jobs whose progress is to be written
-	acks     map[*worker]int64  // ends that may be acknowledged after the next write
-	roster   map[string]bool    // lives in the stored roster
-	pending  map[string]bool    // lives of earlier terms that are not accounted for
-	settled  time.Time          // when pending counts as accounted for at the latest
-	stale    bool               // the stored roster is to be replaced
-	writing  bool
-	retryAt  time.Time
-	changed  bool // a round may find something to do
-	roundAt  time.Time
-	sweepAt  time.Time
-	within   map[string]bool    // workspaces whose urgent work is within their guarantee
-	evidence map[string]*record // what runs have shown of workers, by life
-	dropped  map[string]bool    // jobs that ended in this term; the book may not show it yet
+	revision  int64 // of the book, up to which jobs are taken over
+	jobs      map[string]*job
+	workers   map[string]*worker // by identity
+	dirty     map[string]*job    // jobs whose progress is to be written
+	acks      map[*worker]int64  // ends that may be acknowledged after the next write
+	roster    map[string]bool    // lives in the stored roster
+	pending   map[string]bool    // lives of earlier terms that are not accounted for
+	settled   time.Time          // when pending counts as accounted for at the latest
+	stale     bool               // the stored roster is to be replaced
+	writing   bool
+	retryAt   time.Time
+	changed   bool // a round may find something to do
+	roundAt   time.Time
+	sweepAt   time.Time
+	listed    int64 // version of the list that was taken in
+	syncedAt  time.Time
+	expiredAt time.Time
+	within    map[string]bool    // workspaces whose urgent work is within their guarantee
+	evidence  map[string]*record // what runs have shown of workers, by life
+	dropped   map[string]bool    // jobs that ended in this term; the book may not show it yet
 }
 
 // New returns a scheduler for one term. It works while Run runs.
@@ -206,12 +211,19 @@
 	if state := s.Book.View().State; state.Revision != s.revision {
 		s.takeJobs(state, false)
 	}
-	s.syncWorkers()
-	s.expire()
+	now := time.Now()
+	s.syncWorkers(now)
+	if now.Sub(s.expiredAt) >= tick {
+		s.expiredAt = now
+		s.expire(now)
+	}
 	if s.changed && s.Holding.Valid() && time.Since(s.roundAt) >= roundGap {
 		s.changed = false
+		begun := time.Now()
 		s.round()
-		s.roundAt = time.Now()
+		took := time.Since(begun)
+		s.Scope.Timer("round").Record(took)
+		s.roundAt = begun.Add(took * roundShare)
 	}
 	s.write()
 	s.sweep()
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -58,15 +58,16 @@
 }
 
 // syncWorkers takes in the list of workers.
-func (s *Scheduler) syncWorkers() {
-	entries, fresh := s.list.Entries()
-	if fresh.IsZero() {
+func (s *Scheduler) syncWorkers(now time.Time) {
+	version, read := s.list.Version()
+	if !read || (version == s.listed && now.Sub(s.syncedAt) < syncPeriod) {
 		return
 	}
-	now := time.Now()
+	s.listed, s.syncedAt = version, now
+	entries := s.list.Entries()
 	for id, e := range entries {
 		w, known := s.workers[id]
-		if known && w.life != crankfleet.Life(e) {
+		if known && w.entry.Born != e.Born {
 			s.endLife(w, "a newer life is listed")
 			known = false
 		}
@@ -145,8 +146,7 @@
 }
 
 // expire gives up what can't run any more, and repeats stops.
-func (s *Scheduler) expire() {
-	now := time.Now()
+func (s *Scheduler) expire(now time.Time) {
 	if len(s.pending) > 0 && now.After(s.settled) {
 		s.Logger.Warn("sched: workers not accounted for, their leases are over", "workers", len(s.pending))
 		clear(s.pending)
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -135,13 +135,17 @@
 // beat writes the workers' entries again and again.
 func (c *cluster) beat(ctx context.Context) {
 	for ctx.Err() == nil {
-		c.mu.Lock()
-		for id, e := range c.listed {
-			if !c.silent[id] {
-				c.store.Put(crank.WorkerTopic, id, crankfakefleet.Encode(e))
+		var entries []crank.WorkerEntry
+		c.set(func() {
+			for id, e := range c.listed {
+				if !c.silent[id] {
+					entries = append(entries, e)
+				}
 			}
+		})
+		for _, e := range entries {
+			c.store.Put(crank.WorkerTopic, e.ID, crankfakefleet.Encode(e))
 		}
-		c.mu.Unlock()
 		select {
 		case <-time.After(heartbeat):
 		case <-ctx.Done():
--- a/standin/crankfakestore/store.go
+++ b/standin/crankfakestore/store.go
@@ -182,8 +182,9 @@
 func (c *Client) enter(ctx context.Context, call string) (Fault, error) {
 	c.store.mu.Lock()
 	c.store.calls++
-	f := c.store.faults(c.name, call)
+	faults := c.store.faults
 	c.store.mu.Unlock()
+	f := faults(c.name, call)
 	if f.Delay > 0 {
 		select {
 		case <-time.After(f.Delay):
