Prove entry instances under drawn faults, and the adapter over the wire

The stand-in of the workers was corrected twice: a step counts as done when a run ended so, acknowledged or not; a worker's crash breaks the gangs that it had members of.

--- /dev/null
+++ b/proofs/crankentryproof/wire_test.go
@@ -0,0 +1,137 @@
+package crankentryproof
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	crank "cranberrycrank"
+	crankadapter "cranberrycrank/platform"
+	"cranberrycrank/standin/crankfakefleet"
+	"cranberrycrank/standin/crankfakeplatform"
+	"cranberrycrank/standin/crankfakestore"
+
+	"github.com/matryer/is"
+	"pgregory.net/rapid"
+)
+
+// serve runs a handler and returns its address.
+func serve(t *testing.T, h http.Handler) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+func TestStoreOverTheWire(t *testing.T) {
+	is := is.New(t)
+	fake := crankfakestore.New()
+	store := crankadapter.NewStore(crankadapter.NewClient(), serve(t, crankfakeplatform.NewStore(fake)))
+	ctx := t.Context()
+
+	end, err := store.Append(ctx, crank.StoreAppend{Topic: crank.JobTopic, At: crank.AnyOffset, Records: []crank.KeyedRecord{{Key: "k1", Value: []byte("v1")}, {Key: "k2", Value: []byte("v2")}}})
+	is.NoErr(err)
+	is.Equal(end, crank.Offset(2))
+	b, err := store.Read(ctx, crank.JobTopic, 0, time.Second)
+	is.NoErr(err)
+	is.Equal(len(b.Records), 2)
+	is.Equal(b.Records[1], crank.KeyedRecord{Key: "k2", Value: []byte("v2"), Offset: 1})
+
+	_, err = store.Append(ctx, crank.StoreAppend{Topic: crank.JobTopic, At: 1, Records: b.Records[:1]})
+	is.Equal(crank.KindOf(err), crank.KindConflict)
+
+	seize := crank.StoreAppend{Topic: crank.JobTopic, At: crank.AnyOffset, Producer: "planner", Epoch: 2}
+	_, err = store.Append(ctx, seize)
+	is.NoErr(err)
+	seize.Epoch = 1
+	_, err = store.Append(ctx, seize)
+	is.Equal(crank.KindOf(err), crank.KindFenced)
+	seize.Epoch, seize.Sequence = 2, 7
+	_, err = store.Append(ctx, seize)
+	is.Equal(crank.KindOf(err), crank.KindUnavailable)
+
+	fake.ForgetHistory()
+	_, err = store.Read(ctx, crank.JobTopic, 0, 0)
+	is.Equal(crank.KindOf(err), crank.KindExpired)
+	for i := range 120 {
+		fake.Put(crank.WorkerTopic, "w"+string(rune('a'+i%26))+string(rune('a'+i/26)), []byte("{}"))
+	}
+	newest, err := store.Newest(ctx, crank.WorkerTopic)
+	is.NoErr(err)
+	is.Equal(len(newest.Records), 120) // over several pages
+	is.Equal(newest.End, crank.Offset(120))
+}
+
+func TestStoreThatIsAwayHasDoneNothing(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{http.StatusServiceUnavailable, http.StatusTooManyRequests} {
+		store := crankadapter.NewStore(crankadapter.NewClient(), serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) })))
+		_, err := store.Append(t.Context(), crank.StoreAppend{Topic: crank.JobTopic, At: crank.AnyOffset})
+		is.Equal(crank.KindOf(err), crank.KindUnavailable)
+	}
+	silent := crankadapter.NewStore(crankadapter.NewClient(), serve(t, http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() })))
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := silent.Append(ctx, crank.StoreAppend{Topic: crank.JobTopic, At: crank.AnyOffset})
+	is.Equal(crank.KindOf(err), crank.KindUnknown) // it may have been done
+}
+
+func TestWorkerOverTheWire(t *testing.T) {
+	is := is.New(t)
+	spec := crank.StepJob{ID: "job1", Payload: "p", Steps: []crank.Step{single(2, 10*time.Millisecond)}}
+	fleet := crankfakefleet.New(crankfakefleet.Config{
+		Bounds: bounds, Specs: func(id string) (crank.StepJob, bool) { return spec, id == spec.ID },
+		RunTime: func(crank.TaskID, string) time.Duration { return 10 * time.Millisecond },
+	})
+	e := fleet.Add(crank.WorkerEntry{ID: "w1", Pool: "desk", Zone: "z1", Labels: []string{"a", "r1"}, Capacity: crank.Demand{MilliCores: 8000, MemoryMiB: 20000, Accelerators: 4}})
+	e.Addr = serve(t, crankfakeplatform.Worker{Entry: e, Dial: fleet})
+	decoded, err := crankadapter.DecodeWorker(crank.KeyedRecord{Key: "w1", Value: crankfakeplatform.EntryValue(e)})
+	is.NoErr(err)
+	is.Equal(decoded.Rack, "r1")
+	is.Equal(decoded.Capacity, e.Capacity)
+	is.Equal(decoded.Born, e.Born)
+
+	w := crankadapter.DialWorkers(crankadapter.NewClient()).LeasedWorker(decoded)
+	ctx := t.Context()
+	id := crank.TaskID{Job: "job1", Index: 1}
+	reply, err := w.Start(ctx, crank.RunOrder{Task: id, Run: 3, Payload: "p", Fence: 5, Until: 4000})
+	is.NoErr(err)
+	is.Equal(reply.Refusal, crank.RefusalNone)
+	report, err := w.Hold(ctx, crank.HoldOrder{Fence: 5, Wait: time.Second})
+	is.NoErr(err)
+	is.Equal(len(report.Ended), 1)
+	is.Equal(report.Ended[0], crank.EndedRun{Number: 1, Task: id, Run: 3, How: crank.EndDone})
+	reply, err = w.Start(ctx, crank.RunOrder{Task: id, Run: 4, Payload: "p", Fence: 4, Until: 4000})
+	is.NoErr(err)
+	is.Equal(reply.Refusal, crank.RefusalFence)
+	_, err = w.Hold(ctx, crank.HoldOrder{Fence: 4})
+	is.Equal(crank.KindOf(err), crank.KindFenced)
+	decoded.ID = "another"
+	_, err = crankadapter.DialWorkers(crankadapter.NewClient()).LeasedWorker(decoded).Hold(ctx, crank.HoldOrder{Fence: 5})
+	is.Equal(crank.KindOf(err), crank.KindNotFound)
+}
+
+func TestEntriesOfOtherWritersNameNoWorker(t *testing.T) {
+	is := is.New(t)
+	for _, text := range []string{
+		``, `7`, `{`, `{}`, `{"service":"desk"}`, `{"service":7,"address":"a","zone":"z","state":"ready","capacity":{}}`,
+		`{"service":"desk","address":"a","zone":"z","state":"resting","capacity":{}}`,
+	} {
+		_, err := crankadapter.DecodeWorker(crank.KeyedRecord{Key: "w1", Value: []byte(text)})
+		is.Equal(crank.KindOf(err), crank.KindInvalid)
+	}
+}
+
+// TestDecodersTakeAnything feeds drawn bytes to the decoders.
+func TestDecodersTakeAnything(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		value := rapid.SliceOf(rapid.Byte()).Draw(t, "value")
+		key := rapid.SampledFrom([]string{"config", "evacuate/z1", "wave/1", ""}).Draw(t, "key")
+		r := crank.KeyedRecord{Key: key, Value: value}
+		_, workerErr := crankadapter.DecodeWorker(r)
+		_, operatorErr := crankadapter.DecodeOperator(r)
+		_, _ = workerErr, operatorErr // an error or a value, but no panic
+	})
+}
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -39,6 +39,7 @@
 	workers    map[string]*worker
 	running    map[crank.TaskID]map[*run]bool
 	done       map[crank.TaskID]bool // its end was acknowledged
+	good       map[crank.TaskID]bool // a run of it was done, acknowledged or not
 	failures   map[crank.TaskID]int
 	runs       int
 	violations []string
@@ -76,7 +77,7 @@
 func New(c Config) *Fleet {
 	return &Fleet{
 		Config: c, workers: make(map[string]*worker), running: make(map[crank.TaskID]map[*run]bool),
-		done: make(map[crank.TaskID]bool), failures: make(map[crank.TaskID]int),
+		done: make(map[crank.TaskID]bool), good: make(map[crank.TaskID]bool), failures: make(map[crank.TaskID]int),
 	}
 }
 
@@ -153,6 +154,9 @@
 	w.up = false
 	for _, r := range w.runs {
 		w.drop(r)
+		if r.step.Gang {
+			w.fleet.breakGang(r, crank.EndBroken)
+		}
 	}
 	if w.timer != nil {
 		w.timer.Stop()
@@ -182,6 +186,9 @@
 	if how == crank.EndStopped || how == crank.EndLapsed {
 		r.save()
 	}
+	if how == crank.EndDone {
+		w.fleet.good[r.id] = true
+	}
 	w.number++
 	w.floor[r.id] = max(w.floor[r.id], r.number)
 	w.ended = append(w.ended, crank.EndedRun{Number: w.number, Task: r.id, Run: r.number, How: how, Checkpoint: r.checkpoint})
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -89,7 +89,7 @@
 	for _, a := range r.step.After {
 		for i := range spec.Steps[a].Tasks {
 			before := crank.TaskID{Job: id.Job, Occurrence: id.Occurrence, Step: a, Index: i}
-			if !f.done[before] && !f.endedDone(before) {
+			if !f.good[before] {
 				f.violate("task %s starts before %s is done", id, before)
 			}
 		}
@@ -103,18 +103,6 @@
 	}
 }
 
-// endedDone reports whether a worker lists a good end of a task.
-func (f *Fleet) endedDone(id crank.TaskID) bool {
-	for _, w := range f.workers {
-		for _, e := range w.ended {
-			if e.Task == id && e.How == crank.EndDone {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // joinGang starts the work of a gang once all members are present.
 func (f *Fleet) joinGang(r *run) {
 	var members []*run
--- /dev/null
+++ b/standin/crankfakeplatform/store.go
@@ -0,0 +1,163 @@
+// Package crankfakeplatform serves the stand-ins of the store and of leased
+// workers over the platform's HTTP protocols.
+package crankfakeplatform
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/standin/crankfakestore"
+)
+
+// keyedPrefix begins the platform's names of keyed topics.
+const keyedPrefix = "keyed."
+
+// operatorTopics are the platform's names of topics that others write.
+var operatorTopics = map[string]crank.Topic{"op": crank.OperatorTopic, "servers": crank.WorkerTopic}
+
+// pageItems is how many items one page of newest records has.
+const pageItems = 50
+
+// NewStore serves a store. Each caller is named by the address that it calls
+// from.
+func NewStore(store *crankfakestore.Store) http.Handler {
+	s := &storeServer{store: store.Client("http")}
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /api/log-append", s.append)
+	mux.HandleFunc("GET /api/log-read", s.read)
+	mux.HandleFunc("GET /api/log-newest", s.newest)
+	return mux
+}
+
+type storeServer struct{ store crank.Store }
+
+func topicOf(r *http.Request) crank.Topic {
+	name := strings.TrimPrefix(r.URL.Query().Get("topic"), keyedPrefix)
+	if t, ok := operatorTopics[name]; ok {
+		return t
+	}
+	return crank.Topic(name)
+}
+
+func number(r *http.Request, name string, standard int64) int64 {
+	n, err := strconv.ParseInt(r.URL.Query().Get(name), 10, 64)
+	if err != nil {
+		return standard
+	}
+	return n
+}
+
+func (s *storeServer) append(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	records, err := splitRecords(body)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	a := crank.StoreAppend{
+		Topic: topicOf(r), Records: records, At: crank.Offset(number(r, "at", int64(crank.AnyOffset))),
+		Producer: r.URL.Query().Get("producer"), Epoch: number(r, "epoch", 0), Sequence: number(r, "sequence", 0),
+	}
+	end, err := s.store.Append(r.Context(), a)
+	var wrong *crank.SequenceError
+	switch {
+	case err == nil:
+		answer(w, http.StatusOK, map[string]any{"offset": int64(end) - int64(len(records)), "end_offset": end})
+	case errors.As(err, &wrong):
+		answer(w, http.StatusConflict, map[string]any{"reason": "seq", "sequence": wrong.Expected})
+	case crank.KindOf(err) == crank.KindFenced:
+		answer(w, http.StatusConflict, map[string]any{"reason": "fenced"})
+	case crank.KindOf(err) == crank.KindConflict:
+		answer(w, http.StatusPreconditionFailed, map[string]any{"end_offset": end})
+	default:
+		answer(w, http.StatusServiceUnavailable, struct{}{})
+	}
+}
+
+func splitRecords(body []byte) ([]crank.KeyedRecord, error) {
+	var records []crank.KeyedRecord
+	for len(body) > 0 {
+		if len(body) < 4 || int(binary.BigEndian.Uint32(body)) > len(body)-4 {
+			return nil, errors.New("a record is cut short")
+		}
+		n := int(binary.BigEndian.Uint32(body))
+		data := body[4 : 4+n]
+		body = body[4+n:]
+		if n == 0 || 1+int(data[0]) > n {
+			return nil, errors.New("a record has no key")
+		}
+		k := int(data[0])
+		records = append(records, crank.KeyedRecord{Key: string(data[1 : 1+k]), Value: data[1+k:]})
+	}
+	return records, nil
+}
+
+func (s *storeServer) read(w http.ResponseWriter, r *http.Request) {
+	wait := time.Duration(number(r, "wait_timeout_ms", 0)) * time.Millisecond
+	b, err := s.store.Read(r.Context(), topicOf(r), crank.Offset(number(r, "from", 0)), wait)
+	switch {
+	case crank.KindOf(err) == crank.KindExpired && err != nil:
+		answer(w, http.StatusGone, map[string]any{"first_offset": b.First})
+		return
+	case err != nil:
+		answer(w, http.StatusServiceUnavailable, struct{}{})
+		return
+	}
+	out := binary.BigEndian.AppendUint64(nil, uint64(b.End))
+	out = binary.BigEndian.AppendUint64(out, uint64(b.First))
+	for _, rec := range b.Records {
+		out = binary.BigEndian.AppendUint32(out, uint32(1+len(rec.Key)+len(rec.Value)))
+		out = append(out, byte(len(rec.Key)))
+		out = append(out, rec.Key...)
+		out = append(out, rec.Value...)
+	}
+	if _, err := w.Write(out); err != nil {
+		return // the caller has left
+	}
+}
+
+func (s *storeServer) newest(w http.ResponseWriter, r *http.Request) {
+	b, err := s.store.Newest(r.Context(), topicOf(r))
+	if err != nil {
+		answer(w, http.StatusServiceUnavailable, struct{}{})
+		return
+	}
+	type item struct {
+		Key    string       `json:"key"`
+		Value  string       `json:"value"`
+		Offset crank.Offset `json:"offset"`
+	}
+	items := []item{}
+	more := false
+	for _, rec := range b.Records {
+		if rec.Key <= r.URL.Query().Get("after") {
+			continue
+		}
+		if len(items) == pageItems {
+			more = true
+			break
+		}
+		items = append(items, item{rec.Key, base64.StdEncoding.EncodeToString(rec.Value), rec.Offset})
+	}
+	answer(w, http.StatusOK, map[string]any{"items": items, "has_more": more, "end_offset": b.End})
+}
+
+func answer(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		return // the caller has left
+	}
+}
--- /dev/null
+++ b/standin/crankfakeplatform/worker.go
@@ -0,0 +1,116 @@
+package crankfakeplatform
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	crank "cranberrycrank"
+)
+
+// Worker is one worker as the platform serves it.
+type Worker struct {
+	Entry crank.WorkerEntry
+	Dial  crank.LeaseDialer
+}
+
+// EntryValue returns the worker's entry as it publishes it.
+func EntryValue(e crank.WorkerEntry) []byte {
+	state := "ready"
+	if e.Draining {
+		state = "draining"
+	}
+	data, err := json.Marshal(map[string]any{
+		"service": e.Pool, "address": e.Addr, "zone": e.Zone, "version": "v1", "slots": 8, "state": state, "born": e.Born,
+		"capacity": map[string]int{"cpu": e.Capacity.MilliCores, "memory_limit_mb": e.Capacity.MemoryMiB, "gpu": e.Capacity.Accelerators},
+		"labels":   e.Labels,
+	})
+	if err != nil {
+		panic(err) // an entry always has a JSON form
+	}
+	return data
+}
+
+// ServeHTTP implements http.Handler.
+func (k Worker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if id := r.Header.Get("X-Cranberrycrank-Expected-Instance"); id != "" && id != k.Entry.ID {
+		answer(w, http.StatusMisdirectedRequest, struct{}{})
+		return
+	}
+	var body struct {
+		Task       string `json:"task"`
+		Run        int64  `json:"run"`
+		Spec       string `json:"spec"`
+		DeadlineMs int64  `json:"deadline_ms"`
+		Fence      int64  `json:"fencing_token"`
+		Checkpoint string `json:"checkpoint"`
+		LastSeen   int64  `json:"last_seen"`
+		WaitMs     int64  `json:"wait_timeout_ms"`
+	}
+	if err := json.NewDecoder(r.Body).Decode(&body); err != nil {
+		answer(w, http.StatusBadRequest, struct{}{})
+		return
+	}
+	worker := k.Dial.LeasedWorker(k.Entry)
+	task := parseTask(body.Task)
+	switch r.URL.Path {
+	case "/api/run-start":
+		reply, err := worker.Start(r.Context(), crank.RunOrder{
+			Task: task, Run: body.Run, Payload: body.Spec, Checkpoint: body.Checkpoint, Fence: body.Fence, Until: body.DeadlineMs,
+		})
+		answerOrder(w, reply, err)
+	case "/api/run-stop":
+		reply, err := worker.Stop(r.Context(), crank.StopOrder{Task: task, Run: body.Run, Fence: body.Fence})
+		answerOrder(w, reply, err)
+	case "/api/hold":
+		report, err := worker.Hold(r.Context(), crank.HoldOrder{
+			Fence: body.Fence, Seen: body.LastSeen, Until: body.DeadlineMs, Wait: time.Duration(body.WaitMs) * time.Millisecond,
+		})
+		answerHold(w, report, err)
+	default:
+		answer(w, http.StatusNotFound, struct{}{})
+	}
+}
+
+func parseTask(name string) crank.TaskID {
+	parts := strings.Split(name, ".")
+	t := crank.TaskID{Job: parts[0]}
+	for i, to := range []*int{&t.Occurrence, &t.Step, &t.Index} {
+		if i+1 < len(parts) {
+			*to, _ = strconv.Atoi(parts[i+1]) // a wrong name is a task that nobody submitted
+		}
+	}
+	return t
+}
+
+func answerOrder(w http.ResponseWriter, r crank.OrderReply, err error) {
+	switch {
+	case err != nil:
+		answer(w, http.StatusServiceUnavailable, struct{}{})
+	case r.Refusal != crank.RefusalNone:
+		answer(w, http.StatusConflict, map[string]any{"clock_ms": r.Clock, "reason": r.Refusal})
+	default:
+		answer(w, http.StatusOK, map[string]any{"clock_ms": r.Clock})
+	}
+}
+
+func answerHold(w http.ResponseWriter, r crank.HoldReport, err error) {
+	switch {
+	case crank.KindOf(err) == crank.KindFenced && err != nil:
+		answer(w, http.StatusConflict, map[string]any{"reason": "fence"})
+		return
+	case err != nil:
+		answer(w, http.StatusServiceUnavailable, struct{}{})
+		return
+	}
+	active, finished := [][]any{}, [][]any{}
+	for _, a := range r.Active {
+		active = append(active, []any{a.Task.String(), a.Run, a.Checkpoint, int(a.Percent), 0})
+	}
+	for _, e := range r.Ended {
+		finished = append(finished, []any{e.Number, e.Task.String(), e.Run, e.How, e.Checkpoint})
+	}
+	answer(w, http.StatusOK, map[string]any{"clock_ms": r.Clock, "born": r.Born, "active": active, "finished": finished})
+}
