Begin a term with a record, and avoid workers for a while only

The record that a term begins with now ends that read at once.

Cause 2, from reading: a task that had failed at each worker found no place any more (TestTaskThatFailedEverywhereIsTriedAgain, which failed before). Workers where any member of a gang failed are now avoided, for two seconds.

--- a/internal/crankbook/fact.go
+++ b/internal/crankbook/fact.go
@@ -20,6 +20,7 @@
 	cancelPrefix   = "cancel/"
 	progressPrefix = "progress/"
 	rosterKey      = "roster"
+	termKey        = "term"
 )
 
 // Outcome is the final state of a job.
@@ -83,6 +84,14 @@
 // RosterRecord returns the record of the roster.
 func RosterRecord(r Roster) (crank.KeyedRecord, error) { return encode(rosterKey, r) }
 
+// TermRecord returns the record that a planner's term begins with. It carries
+// no state; whoever has read it has read all that earlier terms recorded.
+func TermRecord(term int64) (crank.KeyedRecord, error) {
+	return encode(termKey, struct {
+		Term int64 `json:"term"`
+	}{term})
+}
+
 // RemovalRecords returns the records that remove all that is known of a job.
 func RemovalRecords(id string) []crank.KeyedRecord {
 	return []crank.KeyedRecord{{Key: cancelPrefix + id}, {Key: progressPrefix + id}, {Key: jobPrefix + id}}
--- a/internal/crankbook/state.go
+++ b/internal/crankbook/state.go
@@ -126,6 +126,9 @@
 	if prefix == rosterKey {
 		return s, decode(r.Value, &s.Roster)
 	}
+	if prefix == termKey {
+		return s, nil
+	}
 	if id == "" {
 		return s, crank.Fail("fact decode", crank.KindInvalid, "%q is no known key", r.Key)
 	}
--- a/internal/crankfeed/writer.go
+++ b/internal/crankfeed/writer.go
@@ -78,14 +78,15 @@
 	}
 }
 
-// Seize raises the epoch, so that producers of lower epochs are refused.
-func (w *Writer) Seize(ctx context.Context) error {
+// Seize raises the epoch with a first record, so that producers of lower
+// epochs are refused, and returns the offset after it.
+func (w *Writer) Seize(ctx context.Context, first crank.KeyedRecord) (crank.Offset, error) {
 	call, cancel := context.WithTimeout(ctx, seizeTimeout)
 	defer cancel()
 	for {
-		_, err := w.append(call, nil)
+		end, err := w.append(call, []crank.KeyedRecord{first})
 		if err == nil || crank.KindOf(err) == crank.KindFenced || call.Err() != nil {
-			return err
+			return end, err
 		}
 		w.Logger.Warn("feed: epoch not raised", "topic", w.Topic, "epoch", w.Epoch, "error", err)
 		Pause(call, unknownPause)
--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -24,8 +24,8 @@
 const (
 	PulsePeriod = 500 * time.Millisecond  // between two signs of life
 	Silence     = 2000 * time.Millisecond // without a sign of life the term is over; four missed pulses
-	claimSpread = 100 * time.Millisecond  // claims are spread over this time, so that few collide
-	claimYield  = 400 * time.Millisecond  // an instance with no processor to spare lets others claim for so long
+	claimSpread = 60 * time.Millisecond   // claims are spread over this time, so that few collide
+	claimYield  = 200 * time.Millisecond  // an instance with no processor to spare lets others claim for so long
 	claimPeriod = 500 * time.Millisecond  // between two claims of one instance
 	readWait    = 1 * time.Second         // longest wait of one read
 	readGap     = 100 * time.Millisecond  // shortest time between two reads
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -24,6 +25,7 @@
 const (
 	lateFactor  = 3                       // after so many times its objective a job is worth nothing more
 	reserveWait = 1500 * time.Millisecond // a gang that waits longer keeps room free for itself
+	avoidTime   = 2 * time.Second         // a task avoids workers where it failed for so long
 	maxReserved = 2                       // gangs of a pool that keep room free at once
 	restoreCost = 1.0                     // seconds that a stop costs a task that has checkpoints
 )
@@ -55,7 +57,7 @@
 		if u.step.Gang {
 			s.placeGang(u, floor, reserved, now)
 		} else {
-			s.placeTasks(u, floor)
+			s.placeTasks(u, floor, now)
 		}
 	}
 }
@@ -205,13 +207,19 @@
 	return within
 }
 
-func (u unit) request(tasks []*task) crankpack.Request {
+// request asks for places for tasks of the unit. Workers where one of them
+// failed are avoided for a while; then any worker is better than none.
+func (u unit) request(tasks []*task, now time.Time) crankpack.Request {
 	q := crankpack.Request{Key: stepKey(tasks[0]), Step: *u.step, Tasks: len(tasks)}
+	if now.Sub(u.since) > avoidTime {
+		return q
+	}
+	avoided := make(map[string]bool)
 	for _, t := range tasks {
-		if len(t.shun) > 0 {
-			q.Avoid = func(worker string) bool { return t.shun[worker] }
-			break
-		}
+		maps.Copy(avoided, t.shun)
+	}
+	if len(avoided) > 0 {
+		q.Avoid = func(worker string) bool { return avoided[worker] }
 	}
 	return q
 }
@@ -219,7 +227,7 @@
 // placeGang starts a gang if all of it fits. Otherwise it may stop other work,
 // or keep room free for itself.
 func (s *Scheduler) placeGang(u unit, floor *crankpack.Floor, reserved map[string]int, now time.Time) {
-	q := u.request(u.tasks)
+	q := u.request(u.tasks, now)
 	place := floor.Place
 	if u.step.SameRack && floor.Place(q, crankpack.Empty) == nil {
 		place = floor.Spread
@@ -248,11 +256,11 @@
 }
 
 // placeTasks starts as many of a step's tasks as fit.
-func (s *Scheduler) placeTasks(u unit, floor *crankpack.Floor) {
+func (s *Scheduler) placeTasks(u unit, floor *crankpack.Floor, now time.Time) {
 	full := false
 	for _, t := range u.tasks {
 		one := []*task{t}
-		q := u.request(one)
+		q := u.request(one, now)
 		if full && q.Avoid == nil {
 			continue
 		}
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -167,14 +167,19 @@
 // takeOver shuts out earlier holders and reads all that they recorded.
 func (s *Scheduler) takeOver(ctx context.Context) bool {
 	begun := time.Now()
-	if err := s.writer.Seize(ctx); err != nil {
+	record, err := crankbook.TermRecord(s.Term)
+	if err != nil {
+		s.Holding.Resign(err.Error())
+		return false
+	}
+	end, err := s.writer.Seize(ctx, record)
+	if err != nil {
 		if ctx.Err() == nil {
 			s.Holding.Resign("the epoch was not raised: " + err.Error())
 		}
 		return false
 	}
-	seized := time.Now()
-	view, err := s.Book.Wait(ctx, func(v crankbook.View) bool { return v.Fresh.After(seized) })
+	view, err := s.Book.Wait(ctx, func(v crankbook.View) bool { return v.End >= end })
 	if err != nil {
 		return false
 	}
--- a/proofs/crankentryproof/path_test.go
+++ b/proofs/crankentryproof/path_test.go
@@ -257,3 +257,16 @@
 		c.await("c", "patient", "job1", crankbook.PhaseCompleted, 20*time.Second)
 	})
 }
+
+// A task that failed at every worker runs at one of them again.
+func TestTaskThatFailedEverywhereIsTriedAgain(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(2)
+		c.fleet.Fails = func(_ crank.TaskID, run int64, _ string) bool { return run <= 2 }
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		is.NoErr(c.submit("a", "patient", "job1", single(1, time.Second)))
+		c.await("b", "patient", "job1", crankbook.PhaseCompleted, 8*time.Second)
+	})
+}
