Know when earlier holders give no more orders, and place lasting work early

Cause 1: after a loss of all instances, a worker that had left shortly before held up every task of an earlier term for 17 s: the new holder allowed for orders of a holder that its own instance had been. Signs of life now tell how long that holder was the only one (TestLostWorkerHoldsWorkUpForOneLease, which failed before, also because signs of life were dropped when they were read before their term). A worker that said that it leaves, is not listed and does not answer counts as gone at once.

Cause 3: needs of a workspace counted steps whose turn had not come, so that guaranteed work could be taken for work beyond the guarantee.

--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -80,7 +80,7 @@
 		defer e.leading.Store(false)
 		cranksched.New(cranksched.Config{
 			Term: h.Number, Holding: h, Store: c.Store, Book: e.book, Board: board, Decode: c.DecodeWorker, Workers: c.Workers,
-			Bounds: c.Bounds, Grace: cranklead.Grace, Retention: c.ResultRetention + retentionMargin, Logger: c.Logger, Scope: c.Scope,
+			Bounds: c.Bounds, Overlap: h.Overlap, Retention: c.ResultRetention + retentionMargin, Logger: c.Logger, Scope: c.Scope,
 		}).Run(ctx)
 	}})
 	return e
--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -71,7 +71,9 @@
 // Holding is a term that this instance holds.
 type Holding struct {
 	Number int64
-	e      *Elector
+	// Overlap is how long earlier holders may still give orders.
+	Overlap time.Duration
+	e       *Elector
 }
 
 // Valid reports whether the holder may still give orders.
@@ -88,6 +90,7 @@
 	feed     *crankfeed.Follower
 	mu       sync.Mutex
 	term     Term
+	overlap  time.Duration // of the newest term
 	end      crank.Offset
 	pulsed   pulse
 	sign     time.Time // last sign of life, or of the store's return
@@ -134,6 +137,9 @@
 		return
 	}
 	e.Logger.Info("lead: term read", "term", t.Number, "holder", t.Holder, "released", t.Released, "offset", r.Offset, "former", e.term.Number)
+	if t.Number > e.term.Number {
+		e.overlap = e.overlapAfter(e.term)
+	}
 	e.term, e.sign = t, time.Now()
 	e.wake()
 }
@@ -144,8 +150,12 @@
 		e.Logger.Warn("lead: record ignored", "key", r.Key, "offset", r.Offset, "error", err)
 		return
 	}
-	if p.Term == e.term.Number && p != e.pulsed {
-		e.pulsed, e.sign = p, time.Now()
+	if p.Term < e.pulsed.Term || p == e.pulsed {
+		return
+	}
+	e.pulsed = p
+	if p.Term == e.term.Number {
+		e.sign = time.Now()
 	}
 }
 
@@ -217,6 +227,24 @@
 	return holder != e.Life && strings.HasPrefix(holder, e.Instance+lifeSeparator)
 }
 
+// overlapAfter returns how long the holders up to a term may still give orders
+// once the next one is claimed. A holder that gave the term up, or whose
+// instance runs again, gives none; those before it had at most Grace from the
+// start of its term.
+func (e *Elector) overlapAfter(t Term) time.Duration {
+	if t.Number == 0 {
+		return 0
+	}
+	if !t.Released && !e.formerLife(t.Holder) {
+		return Grace
+	}
+	held := time.Duration(0)
+	if e.pulsed.Term == t.Number {
+		held = time.Duration(e.pulsed.Count) * PulsePeriod
+	}
+	return max(0, Grace-held)
+}
+
 // Run takes part until the context ends, then gives the term up.
 func (e *Elector) Run(ctx context.Context) error {
 	feedContext, stopFeed := context.WithCancel(context.WithoutCancel(ctx))
@@ -268,12 +296,15 @@
 
 // lead works as the planner until the term is over or the context ends.
 func (e *Elector) lead(ctx context.Context, number int64) {
-	e.Logger.Info("lead: term begins", "term", number)
+	e.mu.Lock()
+	holding := &Holding{Number: number, Overlap: e.overlap, e: e}
+	e.mu.Unlock()
+	e.Logger.Info("lead: term begins", "term", number, "overlap", holding.Overlap)
 	work, stop := context.WithCancel(ctx)
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		e.Lead(work, &Holding{Number: number, e: e})
+		e.Lead(work, holding)
 	}()
 	ticker := time.NewTicker(PulsePeriod)
 	defer ticker.Stop()
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -17,6 +17,7 @@
 const (
 	rankGuaranteed rank = iota // priority 0 within the workspace's guarantee
 	rankUrgent                 // priority 0 beyond it
+	rankLasting                // runs until it is cancelled, and is missed while it does not
 	rankPatient                // may still end in time
 	rankLate                   // too late to be worth much
 )
@@ -24,9 +25,11 @@
 // Times of the policy.
 const (
 	lateFactor  = 3                       // after so many times its objective a job is worth nothing more
+	spreadWait  = 1200 * time.Millisecond // guaranteed work that found no rack by then is spread over several
 	reserveWait = 1500 * time.Millisecond // a gang that waits longer keeps room free for itself
 	avoidTime   = 2 * time.Second         // a task avoids workers where it failed for so long
 	maxReserved = 2                       // gangs of a pool that keep room free at once
+	atWork      = 100                     // percent of a lasting task that has started up
 	restoreCost = 1.0                     // seconds that a stop costs a task that has checkpoints
 )
 
@@ -127,7 +130,7 @@
 
 // units returns what waits for a place, the most urgent first.
 func (s *Scheduler) units(now time.Time) []unit {
-	s.within = s.withinGuarantee()
+	s.within = s.withinGuarantee(now)
 	var units []unit
 	for _, j := range s.jobs {
 		if !j.claimed || j.ending() || (j.inherited && len(s.pending) > 0) {
@@ -177,10 +180,12 @@
 	switch {
 	case j.spec.Priority == 0 && within:
 		u.rank = rankGuaranteed
-	case now.Sub(j.seen) > lateFactor*objective && !j.spec.Lasting() && j.spec.Repeat.Times == 0:
+	case now.Sub(j.seen) > lateFactor*objective && !u.step.Lasting && j.spec.Repeat.Times == 0:
 		u.rank = rankLate
 	case j.spec.Priority == 0:
 		u.rank = rankUrgent
+	case u.step.Lasting:
+		u.rank = rankLasting
 	default:
 		u.rank = rankPatient
 	}
@@ -189,14 +194,11 @@
 
 // withinGuarantee returns the workspaces whose jobs of priority 0 need no more
 // accelerators than are guaranteed to them.
-func (s *Scheduler) withinGuarantee() map[string]bool {
+func (s *Scheduler) withinGuarantee(now time.Time) map[string]bool {
 	needs := make(map[string]int)
 	for _, j := range s.jobs {
-		if j.spec.Priority != 0 || j.ending() {
-			continue
-		}
-		for _, st := range j.spec.Steps {
-			needs[j.spec.Workspace] += st.Tasks * st.Demand.Accelerators
+		if j.spec.Priority == 0 && !j.ending() {
+			needs[j.spec.Workspace] += j.need(now)
 		}
 	}
 	config := s.Board.View().Config
@@ -207,6 +209,25 @@
 	return within
 }
 
+// need returns the accelerators of the steps whose turn has come.
+func (j *job) need(now time.Time) int {
+	sum := 0
+	for o := range j.spec.Occurrences() {
+		for i, st := range j.spec.Steps {
+			if st.Demand.Accelerators == 0 || !j.ready(o, i, now) {
+				continue
+			}
+			first, _ := j.spec.Ordinal(crank.TaskID{Job: j.spec.ID, Occurrence: o, Step: i})
+			for _, t := range j.tasks[first : first+st.Tasks] {
+				if !t.done {
+					sum += st.Demand.Accelerators
+				}
+			}
+		}
+	}
+	return sum
+}
+
 // request asks for places for tasks of the unit. Workers where one of them
 // failed are avoided for a while; then any worker is better than none.
 func (u unit) request(tasks []*task, now time.Time) crankpack.Request {
@@ -247,6 +268,10 @@
 		}
 		return
 	}
+	if u.rank == rankGuaranteed && u.step.SameRack && now.Sub(u.since) > spreadWait {
+		s.spreadGang(u, floor, q)
+		return
+	}
 	if now.Sub(u.since) > reserveWait && u.rank != rankLate && reserved[u.job.spec.Pool] < maxReserved {
 		if rooms := place(q, crankpack.Empty); rooms != nil {
 			reserved[u.job.spec.Pool]++
@@ -255,6 +280,22 @@
 	}
 }
 
+// spreadGang starts a gang on several racks: a guarantee counts for more than
+// the time that its tasks lose there.
+func (s *Scheduler) spreadGang(u unit, floor *crankpack.Floor, q crankpack.Request) {
+	q.Step.SameRack = false
+	if rooms := floor.Spread(q, crankpack.Now); rooms != nil {
+		s.begin(u.tasks, rooms, q)
+		return
+	}
+	if floor.Spread(q, crankpack.Later) == nil && !s.preempt(u, floor, q) {
+		return
+	}
+	if rooms := floor.Spread(q, crankpack.Later); rooms != nil {
+		take(rooms, q)
+	}
+}
+
 // placeTasks starts as many of a step's tasks as fit.
 func (s *Scheduler) placeTasks(u unit, floor *crankpack.Floor, now time.Time) {
 	full := false
@@ -327,12 +368,13 @@
 	var victims []crankpack.Victim
 	var places []*placement
 	gangs := make(map[string]int)
+	spared := make(map[string]int) // lasting tasks that may still be stopped, by step
 	for _, w := range s.workers {
 		if w.entry.Pool != u.job.spec.Pool {
 			continue
 		}
 		for _, p := range w.places {
-			if !s.mayStop(u, p) {
+			if !s.mayStop(u, p) || !p.maySpare(spared) {
 				continue
 			}
 			part := crankpack.VictimPart{Worker: w.entry.ID, Holds: p.room}
@@ -352,13 +394,35 @@
 
 // mayStop reports whether a unit may stop a run.
 func (s *Scheduler) mayStop(u unit, p *placement) bool {
-	if p.state != running || p.task == nil || p.step.Lasting {
+	if p.state != running || p.task == nil {
+		return false
+	}
+	if p.step.Lasting && u.rank != rankGuaranteed {
 		return false
 	}
 	spec := p.task.job.spec
 	return spec.Priority > u.job.spec.Priority || (u.rank == rankGuaranteed && !s.within[spec.Workspace])
 }
 
+// maySpare reports whether a run may be stopped as far as its step limits how
+// many of its lasting tasks are away, and counts it.
+func (p *placement) maySpare(spared map[string]int) bool {
+	if !p.step.Lasting || p.step.MaxAway == 0 {
+		return true
+	}
+	left, ok := spared[p.key]
+	if !ok {
+		left = p.step.MaxAway
+		for _, t := range p.task.members() {
+			if t.place == nil || t.place.state != running || t.place.percent < atWork {
+				left--
+			}
+		}
+	}
+	spared[p.key] = left - 1
+	return left > 0 && p.percent >= atWork
+}
+
 // cost returns the core-seconds that a stop throws away.
 func (p *placement) cost() float64 {
 	seconds := time.Since(p.began).Seconds()
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -55,7 +55,7 @@
 	Decode    crankfleet.Decoder
 	Workers   crank.LeaseDialer
 	Bounds    crank.LeaseBounds
-	Grace     time.Duration // a former holder gives orders at most this long after its last contact with the store
+	Overlap   time.Duration // earlier holders may give orders for so long
 	Retention time.Duration // ended jobs are kept this long
 	Logger    *slog.Logger
 	Scope     tally.Scope
@@ -186,7 +186,7 @@
 	for _, life := range view.State.Roster.Lives {
 		s.roster[life], s.pending[life] = true, true
 	}
-	s.settled = time.Now().Add(s.Grace + time.Duration(float64(s.Bounds.HoldLimit)*drift) + takeoverMargin)
+	s.settled = time.Now().Add(s.Overlap + time.Duration(float64(s.Bounds.HoldLimit)*drift) + takeoverMargin)
 	s.takeJobs(view.State, true)
 	s.Logger.Info("sched: term taken over", "term", s.Term, "jobs", len(s.jobs), "roster", len(s.roster), "book-end", view.End, "took", time.Since(begun))
 	return true
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -88,8 +88,11 @@
 		if w.unlisted.IsZero() {
 			w.unlisted = now
 		}
-		if w.over || (now.Sub(w.unlisted) > unlistedGrace && w.failing > 0 && now.After(w.keeper.LeaseOver())) {
-			s.endLife(w, "it is not listed and its lease is over")
+		// A worker that said that it leaves, and is neither listed nor answers,
+		// has left. Another one may be cut off and run on until its lease is over.
+		gone := w.entry.Draining || now.After(w.keeper.LeaseOver())
+		if w.over || (now.Sub(w.unlisted) > unlistedGrace && w.failing > 0 && gone) {
+			s.endLife(w, "it is not listed any more")
 			delete(s.workers, id)
 			if s.roster[w.life] {
 				delete(s.roster, w.life)
--- a/proofs/crankentryproof/path_test.go
+++ b/proofs/crankentryproof/path_test.go
@@ -270,3 +270,26 @@
 		c.await("b", "patient", "job1", crankbook.PhaseCompleted, 8*time.Second)
 	})
 }
+
+// After a loss of all instances the next holder knows that the one before gives
+// no orders any more, so a worker that has left holds work up for one lease at
+// most.
+func TestLostWorkerHoldsWorkUpForOneLease(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.addWorkers(4)
+		c.publish(1)
+		c.startAll("a", "b", "c")
+		time.Sleep(15 * time.Second)
+		is.NoErr(c.submit("a", "patient", "job1", single(32, 2*time.Second)))
+		time.Sleep(time.Second)
+		c.fleet.Crash("w00")
+		c.set(func() { delete(c.listed, "w00") })
+		c.store.Put(crank.WorkerTopic, "w00", nil)
+		for _, name := range []string{"a", "b", "c"} {
+			c.kill(name)
+		}
+		c.startAll("a", "b", "c")
+		c.await("a", "patient", "job1", crankbook.PhaseCompleted, 8*time.Second)
+	})
+}
--- a/step.go
+++ b/step.go
@@ -126,16 +126,6 @@
 	return time.Duration(j.Slack*float64(j.Chain())) + j.Target
 }
 
-// Lasting reports whether a task of the job runs until it is cancelled.
-func (j StepJob) Lasting() bool {
-	for _, s := range j.Steps {
-		if s.Lasting {
-			return true
-		}
-	}
-	return false
-}
-
 // Limits on the size of a job.
 const (
 	MaxSteps       = 1000    // steps of a job
