--- a/cmd/internal/crankcli/check.go
+++ b/cmd/internal/crankcli/check.go
@@ -16,6 +16,7 @@
 type checkCommand struct {
 	env       Config
 	settings  string
+	entry     string
 	directory string
 	json      bool
 }
@@ -28,20 +29,21 @@
 
 // Usage implements subcommands.Command.
 func (*checkCommand) Usage() string {
-	return "check [-settings file] [-config directory]\n  check settings and configuration, and exit with 2 when something is wrong\n"
+	return "check [-settings file] [-entry file] [-config directory]\n  check settings and configuration, and exit with 2 when something is wrong\n"
 }
 
 // SetFlags implements subcommands.Command.
 func (c *checkCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.settings, "settings", "", "settings of a process")
+	f.StringVar(&c.entry, "entry", "", "settings of a process in front of leased workers")
 	f.StringVar(&c.directory, "config", "", "configuration directory")
 	f.BoolVar(&c.json, "json", false, "print JSON")
 }
 
 // Execute implements subcommands.Command.
 func (c *checkCommand) Execute(context.Context, *flag.FlagSet, ...any) subcommands.ExitStatus {
-	if c.settings == "" && c.directory == "" {
-		fmt.Fprintln(c.env.Err, "check: neither -settings nor -config is given")
+	if c.settings == "" && c.directory == "" && c.entry == "" {
+		fmt.Fprintln(c.env.Err, "check: none of -settings, -entry and -config is given")
 		return exitInvalid
 	}
 	faults := []crankconf.Fault{}
@@ -49,6 +51,10 @@
 		_, err := crankconf.ReadSettings(c.settings)
 		faults = append(faults, faultsOf(err)...)
 	}
+	if c.entry != "" {
+		_, err := crankconf.ReadEntrySettings(c.entry)
+		faults = append(faults, faultsOf(err)...)
+	}
 	if c.directory != "" {
 		_, err := crankconf.ReadDirectory(c.directory)
 		faults = append(faults, faultsOf(err)...)
--- a/cmd/internal/crankcli/job.go
+++ b/cmd/internal/crankcli/job.go
@@ -27,6 +27,7 @@
 		&command{remote: remote{env: c}, name: "wait", args: "<job>", synopsis: "wait for the outcome of a job", flags: wait.set, run: wait.run},
 		&command{remote: remote{env: c}, name: "cancel", args: "<job>", synopsis: "end a job", run: cancelJob},
 		&command{remote: remote{env: c}, name: "explain", args: "<job>", synopsis: "say why a job waits or where it went (operators)", run: explainJob},
+		&traceCommand{env: c},
 	}
 }
 
--- a/internal/crankconf/entry.go
+++ b/internal/crankconf/entry.go
@@ -55,8 +55,8 @@
 	running := d.section("running")
 	logging := d.section("logging")
 	s := EntrySettings{
-		Instance:    instance.requiredName("id"),
-		Zone:        instance.requiredName("zone"),
+		Instance:    instance.word("id"),
+		Zone:        instance.word("zone"),
 		Listen:      instance.address("listen"),
 		ReadyListen: instance.address("ready-listen"),
 		MetricsPort: instance.integer("metrics-port", defaultMetricsPort, 1, maxPort),
--- a/internal/crankconf/value.go
+++ b/internal/crankconf/value.go
@@ -42,6 +42,19 @@
 	return v
 }
 
+// word reads a name that somebody else gave: any text without white space.
+func (s *section) word(key string) string {
+	v, ok := s.get(key)
+	if !ok || v == "" {
+		s.fault(key, "the key is missing")
+		return ""
+	}
+	if len(strings.Fields(v)) != 1 {
+		s.fault(key, "%q has white space", v)
+	}
+	return v
+}
+
 func (s *section) choice(key, standard string, options ...string) string {
 	v, ok := s.get(key)
 	if !ok {
