--- a/cmd/internal/crankcli/entry.go
+++ b/cmd/internal/crankcli/entry.go
@@ -22,6 +22,7 @@
 
 	"github.com/google/subcommands"
 	"github.com/oklog/run"
+	"github.com/uber-go/tally/v4"
 )
 
 // entryCommand runs an entry instance in front of leased workers.
@@ -60,7 +61,7 @@
 	level := new(slog.LevelVar)
 	level.Set(settings.LogLevel)
 	logger := slog.New(slog.NewJSONHandler(out, &slog.HandlerOptions{Level: level, ReplaceAttr: readableTimes})).With("instance", settings.Instance)
-	p := &entryProcess{path: c.settings, settings: settings, level: level, logger: logger}
+	p := &entryProcess{path: c.settings, settings: settings, level: level, logger: logger, lines: out}
 	if err := p.run(ctx); err != nil {
 		logger.Error("entry: failed", "error", err)
 		return exitFailure
@@ -81,6 +82,8 @@
 	path     string
 	settings crankconf.EntrySettings
 	level    *slog.LevelVar
+	lines    *cranklog.Writer
+	scope    tally.Scope
 	logger   *slog.Logger
 	entry    *crankentry.Entry
 	front    *http.Server
@@ -98,6 +101,7 @@
 func (p *entryProcess) run(ctx context.Context) error {
 	metrics := newMetrics(p.logger)
 	defer metrics.closer.Close()
+	p.scope = metrics.scope
 	client := crankadapter.NewClient()
 	p.entry = crankentry.New(crankentry.Config{
 		Instance:        p.settings.Instance,
@@ -176,6 +180,7 @@
 			return
 		case <-ticker.C:
 			p.reload("")
+			p.scope.Gauge("log_lines_left_out").Update(float64(p.lines.Dropped()))
 		case <-ctx.Done():
 			return
 		}
--- a/internal/crankconf/entry.go
+++ b/internal/crankconf/entry.go
@@ -2,7 +2,6 @@
 
 import (
 	"log/slog"
-	"os"
 	"time"
 
 	crank "cranberrycrank"
@@ -27,11 +26,11 @@
 // ReadEntrySettings reads settings from a file. The error is an *Error that
 // lists every fault.
 func ReadEntrySettings(path string) (EntrySettings, error) {
-	text, err := os.ReadFile(path)
+	text, err := readText(path)
 	if err != nil {
-		return EntrySettings{}, &Error{Op: "settings read", Faults: []Fault{{File: path, Message: err.Error()}}}
+		return EntrySettings{}, err
 	}
-	return ParseEntrySettings(path, string(text))
+	return ParseEntrySettings(path, text)
 }
 
 // Standard values and limits of the settings.
--- a/internal/crankconf/settings.go
+++ b/internal/crankconf/settings.go
@@ -26,11 +26,20 @@
 // ReadSettings reads the settings of a process from a file. The error is an
 // *Error that lists every fault.
 func ReadSettings(path string) (Settings, error) {
+	text, err := readText(path)
+	if err != nil {
+		return Settings{}, err
+	}
+	return ParseSettings(path, text)
+}
+
+// readText reads a file of settings.
+func readText(path string) (string, error) {
 	text, err := os.ReadFile(path)
 	if err != nil {
-		return Settings{}, &Error{Op: "settings read", Faults: []Fault{{File: path, Message: err.Error()}}}
+		return "", &Error{Op: "settings read", Faults: []Fault{{File: path, Message: err.Error()}}}
 	}
-	return ParseSettings(path, string(text))
+	return string(text), nil
 }
 
 // ParseSettings reads settings from the text of a file.
--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -67,6 +67,8 @@
 
 // New returns an entry. It works while Run runs.
 func New(c Config) *Entry {
+	c.Store = meteredStore{c.Store, meter{c.Scope, "store_call"}}
+	c.Workers = meteredDialer{c.Workers, meter{c.Scope, "worker_call"}}
 	e := &Entry{Config: c, book: crankbook.New(c.Logger)}
 	board := crankboard.New(c.DecodeOperator, c.Logger)
 	e.writer = crankfeed.NewWriter(crankfeed.WriterConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Producer: c.Instance + "/" + rand.Text(), Epoch: 1})
@@ -77,7 +79,11 @@
 	}
 	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, Share: c.ProcessorShare, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.Holding) {
 		e.leading.Store(true)
-		defer e.leading.Store(false)
+		c.Scope.Gauge("term_held").Update(float64(h.Number))
+		defer func() {
+			e.leading.Store(false)
+			c.Scope.Gauge("term_held").Update(0)
+		}()
 		cranksched.New(cranksched.Config{
 			Term: h.Number, Holding: h, Store: c.Store, Book: e.book, Board: board, Decode: c.DecodeWorker, Workers: c.Workers,
 			Bounds: c.Bounds, Overlap: h.Overlap, Retention: c.ResultRetention + retentionMargin, Logger: c.Logger, Scope: c.Scope,
--- a/internal/cranklog/log.go
+++ b/internal/cranklog/log.go
@@ -27,7 +27,8 @@
 type Writer struct {
 	lines   chan []byte
 	limit   *rate.Limiter
-	dropped atomic.Int64
+	dropped atomic.Int64 // since the last report
+	total   atomic.Int64
 	closed  chan struct{}
 	done    chan struct{}
 }
@@ -45,19 +46,24 @@
 // Write implements io.Writer. It never blocks and takes each call for a line.
 func (w *Writer) Write(line []byte) (int, error) {
 	if !w.limit.Allow() {
-		w.dropped.Add(1)
+		w.drop(1)
 		return len(line), nil
 	}
 	select {
 	case w.lines <- bytes.Clone(line):
 	default:
-		w.dropped.Add(1)
+		w.drop(1)
 	}
 	return len(line), nil
 }
 
-// Dropped returns how many lines were left out since the last report.
-func (w *Writer) Dropped() int64 { return w.dropped.Load() }
+// Dropped returns how many lines were left out so far.
+func (w *Writer) Dropped() int64 { return w.total.Load() }
+
+func (w *Writer) drop(lines int64) {
+	w.dropped.Add(lines)
+	w.total.Add(lines)
+}
 
 // Close writes what is queued, within a short time.
 func (w *Writer) Close() {
@@ -107,7 +113,7 @@
 		break
 	}
 	if _, err := out.Write(batch); err != nil {
-		w.dropped.Add(count)
+		w.drop(count)
 	}
 }
 
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -256,6 +256,13 @@
 	}
 }
 
+// open starts workers and the usual instances under a first configuration.
+func (c *cluster) open(workers int) {
+	c.addWorkers(workers)
+	c.publish(1)
+	c.startAll(instances...)
+}
+
 // leader returns the instance that holds the planner's term.
 func (c *cluster) leader() string {
 	for _, r := range c.store.Newest(crank.TermTopic) {
--- a/proofs/crankentryproof/drawn_test.go
+++ b/proofs/crankentryproof/drawn_test.go
@@ -68,6 +68,7 @@
 		})
 	}, calmStore},
 	{"the store loses answers", func(c *cluster, r *rand.Rand) {
+		r = own(r)
 		c.set(func() {
 			c.storage = func(_, call string) crankfakestore.Fault {
 				switch {
@@ -87,6 +88,7 @@
 	}, calmStore},
 	{"the store forgets its history", func(c *cluster, _ *rand.Rand) { c.store.ForgetHistory() }, func(*cluster) {}},
 	{"orders are carried out late", func(c *cluster, r *rand.Rand) {
+		r = own(r)
 		c.set(func() {
 			c.late = func(_, _, call string) crankfakefleet.Fault {
 				if call == "hold" || r.IntN(10) > 0 {
@@ -97,6 +99,7 @@
 		})
 	}, calmWorkers},
 	{"answers of workers are lost", func(c *cluster, r *rand.Rand) {
+		r = own(r)
 		c.set(func() {
 			c.late = func(_, _, _ string) crankfakefleet.Fault { return crankfakefleet.Fault{Lose: r.IntN(8) == 0} }
 		})
@@ -113,6 +116,10 @@
 	{"a worker starts again", func(c *cluster, r *rand.Rand) { c.addWorker(r.IntN(8)) }, func(*cluster) {}},
 }
 
+// own returns a source of luck of its own, for faults that are drawn by other
+// goroutines under the cluster's lock.
+func own(r *rand.Rand) *rand.Rand { return rand.New(rand.NewPCG(r.Uint64(), 0)) }
+
 func calmStore(c *cluster)   { c.set(func() { c.storage = nil }) }
 func calmWorkers(c *cluster) { c.set(func() { c.late = nil }) }
 
@@ -121,9 +128,7 @@
 func day(t *testing.T, seed uint64) {
 	play(t, func(t *testing.T, c *cluster) {
 		r := rand.New(rand.NewPCG(seed, 0))
-		c.addWorkers(8)
-		c.publish(1)
-		c.startAll(instances...)
+		c.open(8)
 		accepted := make(map[string]string)
 		type active struct {
 			trouble
--- a/proofs/crankentryproof/load_test.go
+++ b/proofs/crankentryproof/load_test.go
@@ -10,9 +10,7 @@
 // profiler. All urgent work starts though patient work fills the workers.
 func TestPlansForManyWorkers(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
-		c.addWorkers(350)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(350)
 		for i := range 150 {
 			if err := c.submit("a", "patient", fmt.Sprintf("patient%d", i), single(40, 6*time.Second)); err != nil {
 				t.Fatal(err)
--- a/proofs/crankentryproof/path_test.go
+++ b/proofs/crankentryproof/path_test.go
@@ -16,9 +16,7 @@
 func TestServesJobsOfSeveralSteps(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(8)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(8)
 		second := single(6, time.Second)
 		second.After = []int{0}
 		is.NoErr(c.submit("a", "patient", "job1", single(12, 2*time.Second), second))
@@ -34,9 +32,7 @@
 func TestSameSubmissionIsOneJob(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
 		for _, entry := range []string{"a", "b", "c"} {
 			is.NoErr(c.submit(entry, "urgent", "job1", gang(2, 4, time.Second)))
 		}
@@ -50,9 +46,7 @@
 func TestCancelledJobStopsAndStaysCancelled(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
 		is.NoErr(c.submit("a", "patient", "job1", single(8, time.Minute)))
 		time.Sleep(time.Second)
 		is.NoErr(c.cancel("b", "patient", "job1"))
@@ -66,10 +60,10 @@
 func TestHopelessJobFails(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.fleet.Fails = func(id crank.TaskID, _ int64, _ string) bool { return id.Job == "job1" }
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
+		c.fleet.Change(func(f *crankfakefleet.Config) {
+			f.Fails = func(id crank.TaskID, _ int64, _ string) bool { return id.Job == "job1" }
+		})
 		is.NoErr(c.submit("a", "patient", "job1", single(2, time.Second)))
 		c.await("b", "patient", "job1", crankbook.PhaseFailed, 8*time.Second)
 	})
@@ -78,9 +72,7 @@
 func TestUrgentGangPreemptsPatientWork(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
 		is.NoErr(c.submit("a", "patient", "job1", single(32, 20*time.Second)))
 		time.Sleep(2 * time.Second)
 		is.NoErr(c.submit("b", "urgent", "job2", gang(4, 8, time.Second)))
@@ -92,10 +84,10 @@
 func TestWorkerThatFailsEverythingIsShunned(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.fleet.Fails = func(_ crank.TaskID, _ int64, worker string) bool { return worker == "w00" }
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
+		c.fleet.Change(func(f *crankfakefleet.Config) {
+			f.Fails = func(_ crank.TaskID, _ int64, worker string) bool { return worker == "w00" }
+		})
 		for _, id := range []string{"job1", "job2", "job3", "job4", "job5", "job6"} {
 			is.NoErr(c.submit("a", "patient", id, single(2, 500*time.Millisecond)))
 			time.Sleep(time.Second)
@@ -109,10 +101,8 @@
 func TestStandstillIsNoticed(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(2)
-		c.fleet.Stuck = func(worker string) bool { return worker == "w00" }
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(2)
+		c.fleet.Change(func(f *crankfakefleet.Config) { f.Stuck = func(worker string) bool { return worker == "w00" } })
 		is.NoErr(c.submit("a", "patient", "job1", single(4, time.Second)))
 		c.await("a", "patient", "job1", crankbook.PhaseCompleted, 9*time.Second)
 	})
@@ -121,16 +111,16 @@
 func TestGangMemberThatIsReadyIsNoStandstill(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		slow := c.fleet.RunTime
-		c.fleet.RunTime = func(id crank.TaskID, worker string) time.Duration {
-			if worker == "w00" {
-				return 8 * slow(id, worker)
+		c.open(4)
+		usual := c.fleet.RunTime
+		c.fleet.Change(func(f *crankfakefleet.Config) {
+			f.RunTime = func(id crank.TaskID, worker string) time.Duration {
+				if worker == "w00" {
+					return 8 * usual(id, worker)
+				}
+				return usual(id, worker)
 			}
-			return slow(id, worker)
-		}
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		})
 		is.NoErr(c.submit("a", "urgent", "job1", gang(4, 8, time.Second)))
 		c.await("a", "urgent", "job1", crankbook.PhaseCompleted, 10*time.Second)
 		is.Equal(c.fleet.Runs(), 4)
@@ -140,17 +130,17 @@
 func TestZoneOutOfServiceGetsNoStart(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(6)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(6)
 		c.store.Put(crank.OperatorTopic, "z0", []byte("{}"))
 		time.Sleep(2 * time.Second)
-		c.fleet.Fails = func(id crank.TaskID, _ int64, worker string) bool {
-			if worker == "w00" || worker == "w03" {
-				t.Errorf("%s was started at %s", id, worker)
+		c.fleet.Change(func(f *crankfakefleet.Config) {
+			f.Fails = func(id crank.TaskID, _ int64, worker string) bool {
+				if worker == "w00" || worker == "w03" {
+					t.Errorf("%s was started at %s", id, worker)
+				}
+				return false
 			}
-			return false
-		}
+		})
 		is.NoErr(c.submit("a", "patient", "job1", single(40, time.Second)))
 		c.await("a", "patient", "job1", crankbook.PhaseCompleted, 8*time.Second)
 	})
@@ -159,9 +149,7 @@
 func TestRefusesWhatItCannotJudge(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(1)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(1)
 		c.set(func() { c.cut[c.entries["a"].caller] = true })
 		time.Sleep(crankgate.ConfigFreshness + 2*time.Second)
 		is.True(!c.entries["a"].Ready())
@@ -175,9 +163,7 @@
 func TestRefusedSubmissionNeverRuns(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
 		c.set(func() {
 			c.storage = func(_, call string) crankfakestore.Fault { return crankfakestore.Fault{Refuse: call == "append"} }
 		})
@@ -191,9 +177,7 @@
 func TestUnansweredAppendIsRepeatedUntilKnown(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
 		lost := 0
 		c.set(func() {
 			c.storage = func(caller, call string) crankfakestore.Fault {
@@ -213,9 +197,7 @@
 func TestOrderCarriedOutLateRunsNothingTwice(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(8)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(8)
 		n := 0
 		c.set(func() {
 			c.late = func(_, _, call string) crankfakefleet.Fault {
@@ -240,9 +222,7 @@
 func TestRefusalAfterALostAnswerIsNoProof(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
 		tries := make(map[string]int)
 		c.set(func() {
 			c.late = func(_, worker, call string) crankfakefleet.Fault {
@@ -262,10 +242,10 @@
 func TestTaskThatFailedEverywhereIsTriedAgain(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(2)
-		c.fleet.Fails = func(_ crank.TaskID, run int64, _ string) bool { return run <= 2 }
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(2)
+		c.fleet.Change(func(f *crankfakefleet.Config) {
+			f.Fails = func(_ crank.TaskID, run int64, _ string) bool { return run <= 2 }
+		})
 		is.NoErr(c.submit("a", "patient", "job1", single(1, time.Second)))
 		c.await("b", "patient", "job1", crankbook.PhaseCompleted, 8*time.Second)
 	})
@@ -277,9 +257,7 @@
 func TestLostWorkerHoldsWorkUpForOneLease(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
-		c.addWorkers(4)
-		c.publish(1)
-		c.startAll("a", "b", "c")
+		c.open(4)
 		time.Sleep(15 * time.Second)
 		is.NoErr(c.submit("a", "patient", "job1", single(32, 2*time.Second)))
 		time.Sleep(time.Second)
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -81,6 +81,13 @@
 	}
 }
 
+// Change changes how runs go. Specs and Faults stay.
+func (f *Fleet) Change(change func(c *Config)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change(&f.Config)
+}
+
 // Add starts a worker and returns its entry. A worker with the same identity
 // is replaced by a new life.
 func (f *Fleet) Add(e crank.WorkerEntry) crank.WorkerEntry {
