--- a/cmd/internal/crankcli/trace.go
+++ b/cmd/internal/crankcli/trace.go
@@ -109,8 +109,7 @@
 		}
 	}
 	slices.SortStableFunc(lines, func(a, b traceLine) int { return a.at.Compare(b.at) })
-	first := slices.IndexFunc(lines, func(l traceLine) bool { return !l.term() })
-	if first < 0 {
+	if !slices.ContainsFunc(lines, func(l traceLine) bool { return !l.term() }) {
 		return nil, nil
 	}
 	return lines, nil
@@ -122,7 +121,9 @@
 		return traceLine{}, errors.New("the line holds no JSON")
 	}
 	var l traceLine
-	if err := json.Unmarshal(text[begin:], &l.fields); err != nil {
+	decoder := json.NewDecoder(bytes.NewReader(text[begin:]))
+	decoder.UseNumber()
+	if err := decoder.Decode(&l.fields); err != nil {
 		return l, err
 	}
 	at, ok := l.fields["time"].(string)
