A soak of real entry processes under drawn faults

It checks that every accepted job completes at every entry, no refused job runs, and what the stand-in of the workers sees of each start.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 STATICCHECK_VERSION = v0.8.2
 MODULES = . ./cmd ./internal ./pkg ./proofs ./standin
 
-.PHONY: build test race lint format demo measure bench fuzz
+.PHONY: build test race lint format demo measure bench fuzz soak
 
 build:
 	$(GO) build -o bin/cranberrycrank ./cmd/cranberrycrank
@@ -31,7 +31,10 @@
 	$(GO) test -count=1 -run TestMeasure -v ./proofs/crankprocess -measure
 
 bench:
-	$(GO) test -run '^$$' -bench . -benchmem ./pkg/crankplan ./internal/crankfold ./internal/crankplatform
+	$(GO) test -run '^$$' -bench . -benchmem ./pkg/crankplan ./internal/crankfold ./internal/crankplatform ./internal/cranksched
 
 fuzz:
 	scripts/fuzz
+
+soak:
+	$(GO) test -count=1 -timeout 60m -v ./proofs/cranksoak -seeds 50 -first $(or $(FIRST),1000)
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -41,7 +41,7 @@
 	done       map[crank.TaskID]bool // its end was acknowledged
 	good       map[crank.TaskID]bool // a run of it was done, acknowledged or not
 	failures   map[crank.TaskID]int
-	runs       int
+	runs       map[string]int // started, by job
 	violations []string
 }
 
@@ -77,7 +77,7 @@
 func New(c Config) *Fleet {
 	return &Fleet{
 		Config: c, workers: make(map[string]*worker), running: make(map[crank.TaskID]map[*run]bool),
-		done: make(map[crank.TaskID]bool), good: make(map[crank.TaskID]bool), failures: make(map[crank.TaskID]int),
+		done: make(map[crank.TaskID]bool), good: make(map[crank.TaskID]bool), runs: make(map[string]int), failures: make(map[crank.TaskID]int),
 	}
 }
 
@@ -124,14 +124,18 @@
 func (f *Fleet) Runs() int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.runs
+	n := 0
+	for _, runs := range f.runs {
+		n += runs
+	}
+	return n
 }
 
-// Done reports whether the end of a task was acknowledged.
-func (f *Fleet) Done(id crank.TaskID) bool {
+// Ran reports whether a run of a job was ever started.
+func (f *Fleet) Ran(job string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.done[id]
+	return f.runs[job] > 0
 }
 
 // Encode returns an entry as a record's value; Decode reads it back.
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -43,7 +43,7 @@
 // begin starts a run and checks what was promised about it.
 func (w *worker) begin(o crank.RunOrder) {
 	f := w.fleet
-	f.runs++
+	f.runs[o.Task.Job]++
 	spec, ok := f.Specs(o.Task.Job)
 	if _, has := spec.Ordinal(o.Task); !ok || !has {
 		f.violate("task %s was not submitted", o.Task)
