Let lasting tasks that are missed go first

A lasting task that waits for two seconds now goes first; it still stops nothing.

Ruled out: shunned workers and zones out of service (none at that time), a claim that was not stored (it had run before).

Test: TestLastingTaskDoesNotWaitForAGang, which failed before.

--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -11,6 +11,7 @@
 const (
 	lateFactor  = 3                       // after so many times its objective a job is worth nothing more
 	spreadWait  = 1200 * time.Millisecond // guaranteed work that found no rack by then is spread over several
+	missedTime  = 2 * time.Second         // a lasting task that waits longer goes first, also before room that is kept free
 	reserveWait = 1500 * time.Millisecond // a gang that waits longer keeps room free for itself
 	avoidTime   = 2 * time.Second         // a task avoids workers where it failed for so long
 	maxReserved = 2                       // gangs of a pool that keep room free at once
@@ -119,7 +120,7 @@
 		take(rooms, q)
 		return
 	}
-	if u.rank <= rankUrgent && s.preempt(u, floor, q) {
+	if u.mayPreempt() && s.preempt(u, floor, q) {
 		if rooms := place(q, crankpack.Later); rooms != nil {
 			take(rooms, q)
 		}
@@ -170,7 +171,7 @@
 			take(rooms, q)
 			continue
 		}
-		if u.rank <= rankUrgent && s.preempt(u, floor, q) {
+		if u.mayPreempt() && s.preempt(u, floor, q) {
 			if rooms := floor.Place(q, crankpack.Later); rooms != nil {
 				take(rooms, q)
 			}
--- a/internal/cranksched/unit.go
+++ b/internal/cranksched/unit.go
@@ -15,7 +15,8 @@
 
 // Ranks.
 const (
-	rankGuaranteed rank = iota // priority 0 within the workspace's guarantee
+	rankMissed     rank = iota // lasting tasks that have been missed for a while
+	rankGuaranteed             // priority 0 within the workspace's guarantee
 	rankUrgent                 // priority 0 beyond it
 	rankLasting                // runs until it is cancelled, and is missed while it does not
 	rankPatient                // may still end in time
@@ -78,9 +79,17 @@
 	return tasks
 }
 
+// mayPreempt reports whether the unit may stop other work.
+func (u unit) mayPreempt() bool { return u.rank == rankGuaranteed || u.rank == rankUrgent }
+
 func newUnit(j *job, tasks []*task, within bool, now time.Time) unit {
 	objective := j.spec.Objective()
 	u := unit{job: j, tasks: tasks, step: tasks[0].step, since: tasks[0].idle}
+	for _, t := range tasks {
+		if t.idle.Before(u.since) {
+			u.since = t.idle
+		}
+	}
 	u.start = j.seen.Add(objective - j.spec.Chain())
 	switch {
 	case j.spec.Priority == 0 && within:
@@ -89,6 +98,8 @@
 		u.rank = rankLate
 	case j.spec.Priority == 0:
 		u.rank = rankUrgent
+	case u.step.Lasting && now.Sub(u.since) > missedTime:
+		u.rank = rankMissed
 	case u.step.Lasting:
 		u.rank = rankLasting
 	default:
--- a/proofs/crankentryproof/path_test.go
+++ b/proofs/crankentryproof/path_test.go
@@ -301,3 +301,21 @@
 		is.True(c.termNumber() > number+1)
 	})
 }
+
+// Room that is kept free for a gang does not keep a lasting task away for long.
+func TestLastingTaskDoesNotWaitForAGang(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.open(2)
+		is.NoErr(c.submit("a", "urgent", "job1", gang(2, 7, time.Minute)))
+		time.Sleep(time.Second)
+		for _, id := range []string{"job2", "job4"} { // beyond the guarantee, they wait for job1
+			is.NoErr(c.submit("a", "urgent", id, gang(2, 8, time.Minute)))
+		}
+		time.Sleep(3 * time.Second)
+		lasting := single(1, time.Hour)
+		lasting.Lasting = true
+		is.NoErr(c.submit("b", "patient", "job3", lasting))
+		c.await("b", "patient", "job3", crankbook.PhaseRunning, 5*time.Second)
+	})
+}
