Make the golden session independent of how quickly workers are called

Ruled out: a change of the answers (both were true); a longer stop at the workers, which left the race at the POST.

--- a/proofs/crankproof/cut_test.go
+++ b/proofs/crankproof/cut_test.go
@@ -15,6 +15,7 @@
 type gate struct {
 	mu     sync.Mutex
 	cut    bool
+	delay  time.Duration // of each call
 	frozen chan struct{} // closed at the thaw, nil when not frozen
 }
 
@@ -24,6 +25,12 @@
 	g.cut = cut
 }
 
+func (g *gate) setDelay(delay time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.delay = delay
+}
+
 func (g *gate) freeze() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -50,6 +57,10 @@
 		<-frozen
 	}
 	g.mu.Lock()
+	delay := g.delay
+	g.mu.Unlock()
+	time.Sleep(delay)
+	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.cut {
 		return crank.Fail("call", crank.KindUnavailable, "cut off")
--- a/proofs/crankproof/golden_test.go
+++ b/proofs/crankproof/golden_test.go
@@ -45,6 +45,10 @@
 	return c
 }
 
+// workerDelay keeps what a call to a worker changes apart from the answer to
+// the request that caused it.
+const workerDelay = time.Millisecond
+
 func newSession(t *testing.T) (*session, *cluster) {
 	c := newCluster(t, goldenConfig())
 	for _, zone := range []string{"gulberg", "raiwind", "kot"} {
@@ -53,6 +57,7 @@
 	s := &session{t: t, handler: map[string]http.Handler{}}
 	for _, id := range []string{"a", "b"} {
 		e := c.startEntry(id)
+		e.toWork.setDelay(workerDelay)
 		s.handler[id] = crankhttp.New(crankhttp.Config{Node: e.node, OperatorKey: "operator", Logger: c.logger, Scope: tally.NoopScope, Metrics: http.NotFoundHandler()})
 	}
 	time.Sleep(settleTime)
