Stand-in of the workers: return nothing of an order without an answer

An order that is carried out late sets the reply that the caller, which had given up, was returning. The program is unchanged.

--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -14,7 +14,10 @@
 		reply = w.start(o)
 		return nil
 	})
-	return reply, err
+	if err != nil {
+		return crank.OrderReply{}, err // an order that is carried out late still sets reply
+	}
+	return reply, nil
 }
 
 func (w *worker) start(o crank.RunOrder) crank.OrderReply {
@@ -162,7 +165,10 @@
 		}
 		return nil
 	})
-	return reply, err
+	if err != nil {
+		return crank.OrderReply{}, err // an order that is carried out late still sets reply
+	}
+	return reply, nil
 }
 
 // Hold implements crank.LeasedWorker.
