Tell the end of a job as soon as it is stored

Cause: callers ask for a job's state when its last task has ended. At that moment the end is not stored yet, or an instance that does not plan reads the job topic up to 200 ms later; they were told that it runs and came back 250 ms later.

A state that is asked for now waits up to 200 ms for the end, and an instance whose callers wait reads the topic without a gap.

Ruled out: acceptance (first starts come 20 ms after it) and the time to store an end (under 15 ms).

Test: TestStateAskedForAtTheEndTellsTheEnd, which failed before.

--- a/internal/crankbook/book.go
+++ b/internal/crankbook/book.go
@@ -22,11 +22,13 @@
 	mu      sync.Mutex
 	view    View
 	changed chan struct{}
+	waiting int           // calls of Wait
+	hurry   chan struct{} // gets a token when a call of Wait begins to wait
 }
 
 // New returns an empty book.
 func New(logger *slog.Logger) *Book {
-	return &Book{logger: logger, view: View{State: NewState()}, changed: make(chan struct{})}
+	return &Book{logger: logger, view: View{State: NewState()}, changed: make(chan struct{}), hurry: make(chan struct{}, 1)}
 }
 
 // Reset implements crankfeed.Sink.
@@ -82,6 +84,15 @@
 // Wait returns the first view that satisfies a condition. It fails with
 // KindUnavailable when the context ends.
 func (b *Book) Wait(ctx context.Context, condition func(View) bool) (View, error) {
+	if v := b.View(); condition(v) {
+		return v, nil
+	}
+	b.await(1)
+	defer b.await(-1)
+	select {
+	case b.hurry <- struct{}{}:
+	default:
+	}
 	for {
 		v, changed := b.Get()
 		if condition(v) {
@@ -94,3 +105,20 @@
 		}
 	}
 }
+
+func (b *Book) await(calls int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.waiting += calls
+}
+
+// Awaited reports whether a call of Wait waits for a newer view.
+func (b *Book) Awaited() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.waiting > 0
+}
+
+// Hurry returns a channel that gets a token when a call of Wait begins to wait
+// for a newer view.
+func (b *Book) Hurry() <-chan struct{} { return b.hurry }
--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -46,8 +46,8 @@
 const (
 	operatorWait = 600 * time.Millisecond // bounds the age of the configuration while nothing is published
 	bookWait     = 500 * time.Millisecond // bounds the age of the book while nothing happens
-	bookGap      = 200 * time.Millisecond // an instance that does not plan reads at most so often
-	plannerGap   = 15 * time.Millisecond  // the planner reads at most so often
+	bookGap      = 200 * time.Millisecond // an instance reads at most so often while nobody waits for news
+	plannerGap   = 15 * time.Millisecond  // the planner, and an instance whose callers wait, read at most so often
 	// retentionMargin is added to the retention: instances learn of ends at
 	// different times.
 	retentionMargin = 60 * time.Second
@@ -75,7 +75,7 @@
 	e.Gate = crankgate.New(crankgate.Config{Board: board, Book: e.book, Writer: e.writer, Logger: c.Logger, Scope: c.Scope})
 	e.feeds = []*crankfeed.Follower{
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.OperatorTopic, Logger: c.Logger, Wait: operatorWait, Sink: board}),
-		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Wait: bookWait, Gap: e.bookGap, Sink: e.book}),
+		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Wait: bookWait, Gap: e.bookGap, Hurry: e.book.Hurry(), Sink: e.book}),
 	}
 	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, Share: c.ProcessorShare, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.Holding) {
 		e.leading.Store(true)
@@ -93,7 +93,7 @@
 }
 
 func (e *Entry) bookGap() time.Duration {
-	if e.leading.Load() {
+	if e.leading.Load() || e.book.Awaited() {
 		return plannerGap
 	}
 	return bookGap
--- a/internal/crankfeed/follower.go
+++ b/internal/crankfeed/follower.go
@@ -17,6 +17,7 @@
 	Logger *slog.Logger
 	Wait   time.Duration        // longest wait of one read, 0 to poll
 	Gap    func() time.Duration // shortest time between the starts of two reads, nil for none
+	Hurry  <-chan struct{}      // ends the gap that is under way; may be nil
 	Sink   Sink
 }
 
@@ -62,12 +63,26 @@
 			continue
 		}
 		if f.Gap != nil {
-			Pause(ctx, f.Gap()-time.Since(begun))
+			f.pause(ctx, f.Gap()-time.Since(begun))
 		}
 	}
 	return nil
 }
 
+// pause waits for the rest of a gap.
+func (f *Follower) pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.Hurry:
+	case <-ctx.Done():
+	}
+}
+
 // note logs when the topic is lost and when it is read again.
 func (f *Follower) note(err error) {
 	switch {
--- a/internal/crankgate/gate.go
+++ b/internal/crankgate/gate.go
@@ -27,6 +27,7 @@
 	ConfigFreshness = 1700 * time.Millisecond
 	bookFreshness   = 2500 * time.Millisecond // oldest count of waiting jobs
 	refreshTimeout  = 900 * time.Millisecond  // for a newer state before a job counts as unknown
+	endWait         = 200 * time.Millisecond  // for the end of a job whose state is asked for; several times what storing an end takes
 	answerMargin    = 100 * time.Millisecond  // kept of a caller's deadline for the answer itself
 	defaultDeadline = 10 * time.Second        // of a caller that names none
 )
@@ -164,15 +165,31 @@
 	return err
 }
 
-// Phase returns the state of a job. An error of KindExpired means that there
-// is no such job.
+// Phase returns the state of a job. It waits a little for the end of one that
+// runs, since callers often ask when it is about to be stored. An error of
+// KindExpired means that there is no such job.
 func (g *Gate) Phase(ctx context.Context, r Route) (crankbook.Phase, error) {
 	e, err := g.find(ctx, r)
 	if err != nil {
 		g.Logger.Info("gate: state not told", "job", r.Job, "result", resultOf(err), "book-age", time.Since(g.Book.View().Fresh).Round(time.Millisecond), "error", err)
 		return "", err
 	}
-	return e.Phase(), nil
+	return g.awaitEnd(ctx, e).Phase(), nil
+}
+
+// awaitEnd returns the newest entry of a job once it has ended, or after a
+// short time.
+func (g *Gate) awaitEnd(ctx context.Context, e crankbook.Entry) crankbook.Entry {
+	call, cancel := context.WithTimeout(ctx, endWait)
+	defer cancel()
+	view, _ := g.Book.Wait(call, func(v crankbook.View) bool {
+		newest, ok := v.State.Job(e.Job.ID)
+		return !ok || newest.Ended()
+	})
+	if newest, ok := view.State.Job(e.Job.ID); ok {
+		return newest
+	}
+	return e
 }
 
 // find returns a job. That there is none is said only on a state that was read
--- a/proofs/crankentryproof/path_test.go
+++ b/proofs/crankentryproof/path_test.go
@@ -319,3 +319,21 @@
 		c.await("b", "patient", "job3", crankbook.PhaseRunning, 5*time.Second)
 	})
 }
+
+func TestStateAskedForAtTheEndTellsTheEnd(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.open(4)
+		for i, entry := range []string{"a", "b", "c"} {
+			id := "job" + entry
+			time.Sleep(time.Duration(i) * 70 * time.Millisecond)
+			is.NoErr(c.submit(entry, "urgent", id, gang(2, 4, time.Second)))
+			for c.fleet.Done(id) < 2 {
+				time.Sleep(time.Millisecond)
+			}
+			phase, err := c.phase(entry, "urgent", id)
+			is.NoErr(err)
+			is.Equal(phase, crankbook.PhaseCompleted)
+		}
+	})
+}
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -131,6 +131,19 @@
 	return n
 }
 
+// Done returns how many tasks of a job have a run that was done.
+func (f *Fleet) Done(job string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for id := range f.good {
+		if id.Job == job {
+			n++
+		}
+	}
+	return n
+}
+
 // Ran reports whether a run of a job was ever started.
 func (f *Fleet) Ran(job string) bool {
 	f.mu.Lock()
