--- a/cmd/internal/crankcli/entry.go
+++ b/cmd/internal/crankcli/entry.go
@@ -17,6 +17,7 @@
 	"cranberrycrank/internal/crankconf"
 	"cranberrycrank/internal/crankentry"
 	"cranberrycrank/internal/cranklog"
+	"cranberrycrank/internal/crankpeer"
 	"cranberrycrank/internal/crankuptime"
 	crankadapter "cranberrycrank/platform"
 
@@ -105,6 +106,9 @@
 	client := crankadapter.NewClient()
 	p.entry = crankentry.New(crankentry.Config{
 		Instance:        p.settings.Instance,
+		Zone:            p.settings.Zone,
+		PeerAddr:        p.settings.PeerListen,
+		Peers:           crankpeer.NewStoreDialer(),
 		Store:           crankadapter.NewStore(client, p.settings.Store),
 		Workers:         crankadapter.DialWorkers(client),
 		DecodeWorker:    crankadapter.DecodeWorker,
@@ -146,6 +150,7 @@
 	g.Add(func() error { return p.entry.RunFeeds(feeds) }, func(error) { stopFeeds() })
 	addServer(&g, p.front)
 	addServer(&g, newServer(p.settings.ReadyListen, crankadapter.NewReady(p.entry.Ready)))
+	addServer(&g, newServer(p.settings.PeerListen, p.entry.PeerHandler()))
 	addServer(&g, metricsServer)
 	err = g.Run()
 	p.logger.Info("entry: stopped", "error", err)
--- a/internal/crankbook/fact.go
+++ b/internal/crankbook/fact.go
@@ -19,6 +19,7 @@
 	jobPrefix      = "job/"
 	cancelPrefix   = "cancel/"
 	progressPrefix = "progress/"
+	instancePrefix = "instance/"
 	rosterKey      = "roster"
 	termKey        = "term"
 )
--- a/internal/crankbook/state.go
+++ b/internal/crankbook/state.go
@@ -67,11 +67,15 @@
 type State struct {
 	Revision int64
 	Roster   Roster
-	jobs     *immutable.Map[string, Entry]
+
+	jobs      *immutable.Map[string, Entry]
+	instances *immutable.Map[string, announced]
 }
 
 // NewState returns the state of an empty topic.
-func NewState() State { return State{jobs: immutable.NewMap[string, Entry](nil)} }
+func NewState() State {
+	return State{jobs: immutable.NewMap[string, Entry](nil), instances: immutable.NewMap[string, announced](nil)}
+}
 
 // Job returns the entry of a submitted job.
 func (s State) Job(id string) (Entry, bool) {
@@ -132,6 +136,9 @@
 	if id == "" {
 		return s, crank.Fail("fact decode", crank.KindInvalid, "%q is no known key", r.Key)
 	}
+	if prefix == instancePrefix {
+		return s.withInstance(id, r.Value, now)
+	}
 	e, known := s.jobs.Get(id)
 	if !known {
 		e = Entry{cancelled: noOffset, progressed: noOffset}
--- a/internal/crankconf/entry.go
+++ b/internal/crankconf/entry.go
@@ -14,6 +14,7 @@
 	Zone         string
 	Listen       string  // callers
 	ReadyListen  string  // the balancer's checks
+	PeerListen   string  // other instances
 	MetricsPort  int     // on the address of Listen
 	Share        float64 // of a processor that the process may use
 	Store        string  // the platform's store
@@ -58,6 +59,7 @@
 		Zone:        instance.word("zone"),
 		Listen:      instance.address("listen"),
 		ReadyListen: instance.address("ready-listen"),
+		PeerListen:  instance.address("peer-listen"),
 		MetricsPort: instance.integer("metrics-port", defaultMetricsPort, 1, maxPort),
 		Share:       instance.fraction("processor-share", 1, minShare, maxShare),
 		Store:       platform.address("store"),
--- a/internal/crankconf/entry_test.go
+++ b/internal/crankconf/entry_test.go
@@ -13,6 +13,7 @@
 zone = z1
 listen = 10.1.0.1:8001
 ready-listen = 10.1.0.1:8002
+peer-listen = 10.1.0.1:7000
 metrics-port = 7010
 processor-share = 0.4
 
@@ -48,7 +49,7 @@
 	text = strings.Replace(text, "[logging]\n", "[logging]\ncolour = red\n", 1)
 	_, err := ParseEntrySettings("entry.ini", text)
 	is.True(err != nil)
-	for _, want := range []string{"entry.ini:10: [platform: store]", "entry.ini:13: [workers: longest-lease]", "[logging: colour]: unknown key"} {
+	for _, want := range []string{"entry.ini:11: [platform: store]", "entry.ini:14: [workers: longest-lease]", "[logging: colour]: unknown key"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q lacks %q", err, want)
 		}
--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -3,6 +3,7 @@
 //	caller -> gate -> writer -> job topic -> book (at every instance)
 //	operator topic -> board (at every instance)
 //	term topic -> elector -> scheduler (at the holder of the term) -> workers
+//	store calls -> relay -> store, or another instance that reaches it
 //
 // All instances are alike and keep nothing; what lasts lies in the store.
 package crankentry
@@ -21,6 +22,7 @@
 	"cranberrycrank/internal/crankfleet"
 	"cranberrycrank/internal/crankgate"
 	"cranberrycrank/internal/cranklead"
+	"cranberrycrank/internal/crankrelay"
 	"cranberrycrank/internal/cranksched"
 
 	"github.com/oklog/run"
@@ -30,6 +32,9 @@
 // Config sets up an Entry.
 type Config struct {
 	Instance        string
+	Zone            string
+	PeerAddr        string // where other instances reach this one, IP:port
+	Peers           crank.StorePeerDialer
 	Store           crank.Store
 	Workers         crank.LeaseDialer
 	DecodeWorker    crankfleet.Decoder
@@ -59,6 +64,8 @@
 	Gate     *crankgate.Gate
 	book     *crankbook.Book
 	writer   *crankfeed.Writer
+	relay    *crankrelay.Store
+	peerKey  string // that other instances show
 	elector  *cranklead.Elector
 	feeds    []*crankfeed.Follower
 	leading  atomic.Bool
@@ -67,9 +74,13 @@
 
 // New returns an entry. It works while Run runs.
 func New(c Config) *Entry {
-	c.Store = meteredStore{c.Store, meter{c.Scope, "store_call"}}
+	e := &Entry{book: crankbook.New(c.Logger), peerKey: rand.Text()}
+	e.relay = crankrelay.NewStore(crankrelay.StoreConfig{
+		Primary: meteredStore{c.Store, meter{c.Scope, "store_call"}}, Peers: e.storePeers, Logger: c.Logger, Scope: c.Scope,
+	})
+	c.Store = e.relay
 	c.Workers = meteredDialer{c.Workers, meter{c.Scope, "worker_call"}}
-	e := &Entry{Config: c, book: crankbook.New(c.Logger)}
+	e.Config = c
 	board := crankboard.New(c.DecodeOperator, c.Logger)
 	e.writer = crankfeed.NewWriter(crankfeed.WriterConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Producer: c.Instance + "/" + rand.Text(), Epoch: 1})
 	e.Gate = crankgate.New(crankgate.Config{Board: board, Book: e.book, Writer: e.writer, Logger: c.Logger, Scope: c.Scope})
@@ -115,7 +126,7 @@
 // RunFeeds reads and writes the store until the context ends.
 func (e *Entry) RunFeeds(ctx context.Context) error {
 	var g run.Group
-	for _, part := range []func(context.Context) error{e.feeds[0].Run, e.feeds[1].Run, e.writer.Run} {
+	for _, part := range []func(context.Context) error{e.feeds[0].Run, e.feeds[1].Run, e.writer.Run, e.announce} {
 		call, cancel := context.WithCancel(ctx)
 		g.Add(func() error { return part(call) }, func(error) { cancel() })
 	}
--- /dev/null
+++ b/internal/crankentry/peer.go
@@ -0,0 +1,67 @@
+package crankentry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankbook"
+	"cranberrycrank/internal/crankfeed"
+	"cranberrycrank/internal/crankpeer"
+	"cranberrycrank/internal/crankrelay"
+)
+
+// announceRetry is the time between two tries of an announcement.
+const announceRetry = 1 * time.Second
+
+// PeerStore returns the store for other instances.
+func (e *Entry) PeerStore() crank.Store { return e.relay.Direct() }
+
+// PeerHandler returns the HTTP handler through which other instances reach the
+// store.
+func (e *Entry) PeerHandler() http.Handler {
+	return crankpeer.NewStoreHandler(e.PeerStore(), e.peerKey)
+}
+
+// announce tells other instances again and again how to reach this one.
+func (e *Entry) announce(ctx context.Context) error {
+	record, err := crankbook.AnnouncementRecord(crankbook.Announcement{ID: e.Instance, Zone: e.Zone, Addr: e.PeerAddr, Key: e.peerKey})
+	if err != nil {
+		return err
+	}
+	for ctx.Err() == nil {
+		if _, err := e.writer.Append(ctx, record); err != nil {
+			e.Logger.Warn("peer: not announced", "error", err)
+			crankfeed.Pause(ctx, announceRetry)
+			continue
+		}
+		e.Logger.Info("peer: announced", "addr", e.PeerAddr)
+		crankfeed.Pause(ctx, crankbook.AnnouncePeriod)
+	}
+	return nil
+}
+
+// storePeers returns the other instances in a drawn order, those of the same
+// availability zone first.
+func (e *Entry) storePeers() []crankrelay.StorePeer {
+	live, _ := e.book.View().State.Instances(time.Now())
+	rand.Shuffle(len(live), func(i, j int) { live[i], live[j] = live[j], live[i] })
+	slices.SortStableFunc(live, func(a, b crankbook.Announcement) int { return e.distance(a) - e.distance(b) })
+	peers := make([]crankrelay.StorePeer, 0, len(live))
+	for _, a := range live {
+		if a.ID != e.Instance {
+			peers = append(peers, crankrelay.StorePeer{ID: a.ID, Store: e.Peers.StorePeer(a.Addr, a.Key)})
+		}
+	}
+	return peers
+}
+
+func (e *Entry) distance(a crankbook.Announcement) int {
+	if a.Zone == e.Zone {
+		return 0
+	}
+	return 1
+}
--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -170,8 +170,8 @@
 		e.Logger.Warn("lead: record ignored", "key", r.Key, "offset", r.Offset, "error", err)
 		return
 	}
-	if p.Term < e.pulsed.Term || p == e.pulsed {
-		return
+	if p.Term < e.pulsed.Term || (p.Term == e.pulsed.Term && p.Count <= e.pulsed.Count) {
+		return // it was stored late, or twice
 	}
 	e.pulsed = p
 	if p.Term == e.term.Number {
--- a/internal/crankpeer/client.go
+++ b/internal/crankpeer/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -31,14 +32,24 @@
 	defer d.mu.Unlock()
 	c, ok := d.peers[addr]
 	if !ok {
-		transport := &keyTransport{key: d.key, next: &http.Transport{MaxIdleConnsPerHost: 4}}
-		client := &http.Client{Transport: transport}
+		client := newHTTPClient(d.key)
 		c = &Client{rpc: crankpeerpb.NewPeerProtobufClient("http://"+addr, client), http: client}
 		d.peers[addr] = c
 	}
 	return c
 }
 
+// Bounds of connections to peers.
+const (
+	idlePerPeer = 4                      // idle connections to one peer
+	dialTimeout = 500 * time.Millisecond // of a new connection
+)
+
+func newHTTPClient(key string) *http.Client {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &http.Client{Transport: &keyTransport{key: key, next: &http.Transport{MaxIdleConnsPerHost: idlePerPeer, DialContext: dialer.DialContext}}}
+}
+
 // keyTransport adds the peer key to every call.
 type keyTransport struct {
 	key  string
@@ -108,14 +119,19 @@
 	return crank.Offset(r.Offset), nil
 }
 
-func (c *Client) failed(op string, err error) *crank.Error {
+func (c *Client) failed(op string, err error) *crank.Error { return callFailed(op, c.http, err) }
+
+// callFailed classifies the failure of a call. A call that was refused, or
+// whose connection was never made, had no effect.
+func callFailed(op string, client *http.Client, err error) *crank.Error {
 	var t twirp.Error
+	var n *net.OpError
 	kind := crank.KindUnknown
-	if errors.As(err, &t) && t.Code() == twirp.Unavailable {
+	if (errors.As(err, &t) && t.Code() == twirp.Unavailable) || (errors.As(err, &n) && n.Op == "dial") {
 		kind = crank.KindUnavailable
 	}
 	if kind == crank.KindUnknown {
-		c.http.CloseIdleConnections()
+		client.CloseIdleConnections()
 	}
 	return &crank.Error{Op: op, Kind: kind, Cause: err}
 }
--- a/internal/crankpeer/crankpeerpb/peer.twirp.go
+++ b/internal/crankpeer/crankpeerpb/peer.twirp.go
@@ -1083,6 +1083,1059 @@
 	return baseServicePath(s.pathPrefix, "crankpeer", "Peer")
 }
 
+// ====================
+// StoreRelay Interface
+// ====================
+
+// StoreRelay reaches the platform's store for an instance that can't.
+type StoreRelay interface {
+	Append(context.Context, *StoreAppendRequest) (*StoreReply, error)
+
+	Read(context.Context, *StoreReadRequest) (*StoreReply, error)
+
+	Newest(context.Context, *StoreNewestRequest) (*StoreReply, error)
+}
+
+// ==========================
+// StoreRelay Protobuf Client
+// ==========================
+
+type storeRelayProtobufClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewStoreRelayProtobufClient creates a Protobuf client that implements the StoreRelay interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewStoreRelayProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) StoreRelay {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "crankpeer", "StoreRelay")
+	urls := [3]string{
+		serviceURL + "Append",
+		serviceURL + "Read",
+		serviceURL + "Newest",
+	}
+
+	return &storeRelayProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *storeRelayProtobufClient) Append(ctx context.Context, in *StoreAppendRequest) (*StoreReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "StoreRelay")
+	ctx = ctxsetters.WithMethodName(ctx, "Append")
+	caller := c.callAppend
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StoreAppendRequest) (*StoreReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreAppendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreAppendRequest) when calling interceptor")
+					}
+					return c.callAppend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *storeRelayProtobufClient) callAppend(ctx context.Context, in *StoreAppendRequest) (*StoreReply, error) {
+	out := new(StoreReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *storeRelayProtobufClient) Read(ctx context.Context, in *StoreReadRequest) (*StoreReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "StoreRelay")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StoreReadRequest) (*StoreReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *storeRelayProtobufClient) callRead(ctx context.Context, in *StoreReadRequest) (*StoreReply, error) {
+	out := new(StoreReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *storeRelayProtobufClient) Newest(ctx context.Context, in *StoreNewestRequest) (*StoreReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "StoreRelay")
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	caller := c.callNewest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StoreNewestRequest) (*StoreReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreNewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreNewestRequest) when calling interceptor")
+					}
+					return c.callNewest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *storeRelayProtobufClient) callNewest(ctx context.Context, in *StoreNewestRequest) (*StoreReply, error) {
+	out := new(StoreReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ======================
+// StoreRelay JSON Client
+// ======================
+
+type storeRelayJSONClient struct {
+	client      HTTPClient
+	urls        [3]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewStoreRelayJSONClient creates a JSON client that implements the StoreRelay interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewStoreRelayJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) StoreRelay {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "crankpeer", "StoreRelay")
+	urls := [3]string{
+		serviceURL + "Append",
+		serviceURL + "Read",
+		serviceURL + "Newest",
+	}
+
+	return &storeRelayJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *storeRelayJSONClient) Append(ctx context.Context, in *StoreAppendRequest) (*StoreReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "StoreRelay")
+	ctx = ctxsetters.WithMethodName(ctx, "Append")
+	caller := c.callAppend
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StoreAppendRequest) (*StoreReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreAppendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreAppendRequest) when calling interceptor")
+					}
+					return c.callAppend(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *storeRelayJSONClient) callAppend(ctx context.Context, in *StoreAppendRequest) (*StoreReply, error) {
+	out := new(StoreReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *storeRelayJSONClient) Read(ctx context.Context, in *StoreReadRequest) (*StoreReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "StoreRelay")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StoreReadRequest) (*StoreReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *storeRelayJSONClient) callRead(ctx context.Context, in *StoreReadRequest) (*StoreReply, error) {
+	out := new(StoreReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *storeRelayJSONClient) Newest(ctx context.Context, in *StoreNewestRequest) (*StoreReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "StoreRelay")
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	caller := c.callNewest
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *StoreNewestRequest) (*StoreReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreNewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreNewestRequest) when calling interceptor")
+					}
+					return c.callNewest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *storeRelayJSONClient) callNewest(ctx context.Context, in *StoreNewestRequest) (*StoreReply, error) {
+	out := new(StoreReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[2], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =========================
+// StoreRelay Server Handler
+// =========================
+
+type storeRelayServer struct {
+	StoreRelay
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewStoreRelayServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewStoreRelayServer(svc StoreRelay, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &storeRelayServer{
+		StoreRelay:       svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *storeRelayServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *storeRelayServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// StoreRelayPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const StoreRelayPathPrefix = "/twirp/crankpeer.StoreRelay/"
+
+func (s *storeRelayServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "StoreRelay")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "crankpeer.StoreRelay" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Append":
+		s.serveAppend(ctx, resp, req)
+		return
+	case "Read":
+		s.serveRead(ctx, resp, req)
+		return
+	case "Newest":
+		s.serveNewest(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *storeRelayServer) serveAppend(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAppendJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAppendProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *storeRelayServer) serveAppendJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Append")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(StoreAppendRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.StoreRelay.Append
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StoreAppendRequest) (*StoreReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreAppendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreAppendRequest) when calling interceptor")
+					}
+					return s.StoreRelay.Append(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StoreReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StoreReply and nil error while calling Append. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *storeRelayServer) serveAppendProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Append")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(StoreAppendRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.StoreRelay.Append
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StoreAppendRequest) (*StoreReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreAppendRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreAppendRequest) when calling interceptor")
+					}
+					return s.StoreRelay.Append(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StoreReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StoreReply and nil error while calling Append. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *storeRelayServer) serveRead(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveReadJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveReadProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *storeRelayServer) serveReadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(StoreReadRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.StoreRelay.Read
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StoreReadRequest) (*StoreReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreReadRequest) when calling interceptor")
+					}
+					return s.StoreRelay.Read(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StoreReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StoreReply and nil error while calling Read. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *storeRelayServer) serveReadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(StoreReadRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.StoreRelay.Read
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StoreReadRequest) (*StoreReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreReadRequest) when calling interceptor")
+					}
+					return s.StoreRelay.Read(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StoreReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StoreReply and nil error while calling Read. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *storeRelayServer) serveNewest(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveNewestJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveNewestProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *storeRelayServer) serveNewestJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(StoreNewestRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.StoreRelay.Newest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StoreNewestRequest) (*StoreReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreNewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreNewestRequest) when calling interceptor")
+					}
+					return s.StoreRelay.Newest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StoreReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StoreReply and nil error while calling Newest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *storeRelayServer) serveNewestProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Newest")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(StoreNewestRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.StoreRelay.Newest
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *StoreNewestRequest) (*StoreReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*StoreNewestRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*StoreNewestRequest) when calling interceptor")
+					}
+					return s.StoreRelay.Newest(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*StoreReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*StoreReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *StoreReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StoreReply and nil error while calling Newest. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *storeRelayServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 1
+}
+
+func (s *storeRelayServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *storeRelayServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "crankpeer", "StoreRelay")
+}
+
 // =====
 // Utils
 // =====
@@ -1649,33 +2702,50 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 436 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x53, 0x5d, 0x6b, 0xd4, 0x40,
-	0x14, 0x25, 0x66, 0x3f, 0xba, 0xb7, 0xed, 0xba, 0x0c, 0xd2, 0x4e, 0xd7, 0x97, 0x25, 0x20, 0x04,
-	0xc1, 0x5d, 0x68, 0xdf, 0x04, 0x05, 0x15, 0xdf, 0x14, 0x64, 0x04, 0x1f, 0x7c, 0x29, 0xb3, 0x9b,
-	0x9b, 0x65, 0x68, 0x32, 0x19, 0xef, 0x4c, 0xb5, 0x01, 0x7f, 0x87, 0x3f, 0xc9, 0xdf, 0x25, 0x33,
-	0xf9, 0x30, 0xd5, 0x15, 0x7c, 0xbb, 0xe7, 0x9e, 0x7b, 0xe7, 0x9c, 0x39, 0x99, 0x00, 0x18, 0x44,
-	0x5a, 0x1b, 0xaa, 0x5c, 0xc5, 0x66, 0x3b, 0x92, 0xfa, 0xc6, 0x37, 0x92, 0x87, 0x70, 0xfa, 0xd1,
-	0x49, 0x77, 0x6b, 0x05, 0x7e, 0xb9, 0x45, 0xeb, 0x92, 0x1f, 0x11, 0x1c, 0x77, 0x1d, 0x53, 0xd4,
-	0x6c, 0x09, 0x47, 0x4a, 0x5b, 0x27, 0xf5, 0x0e, 0x79, 0xb4, 0x8a, 0xd2, 0x99, 0xe8, 0x31, 0x63,
-	0x30, 0xd2, 0x78, 0xe7, 0xf8, 0x83, 0x55, 0x94, 0xc6, 0x22, 0xd4, 0xec, 0x09, 0xcc, 0x77, 0x95,
-	0xce, 0xd5, 0xfe, 0xfa, 0x2b, 0x92, 0x55, 0x95, 0xe6, 0x71, 0x60, 0x4f, 0x9b, 0xee, 0xa7, 0xa6,
-	0xc9, 0x1e, 0xc1, 0x98, 0x50, 0x66, 0x35, 0x1f, 0xad, 0xa2, 0xf4, 0x48, 0x34, 0xc0, 0x8b, 0x65,
-	0x24, 0x95, 0x56, 0x7a, 0xcf, 0xc7, 0x81, 0xe8, 0x71, 0x72, 0x03, 0x73, 0x81, 0x32, 0x7b, 0x57,
-	0xed, 0x5b, 0xab, 0xec, 0x0c, 0x26, 0xd6, 0x11, 0xca, 0xb2, 0x35, 0xd6, 0x22, 0x6f, 0x2b, 0xa7,
-	0xaa, 0xec, 0x6c, 0xf9, 0xda, 0xeb, 0x15, 0xaa, 0x54, 0x2e, 0xb8, 0x19, 0x8b, 0x06, 0xb0, 0x73,
-	0x98, 0x7e, 0x93, 0xca, 0x5d, 0x97, 0x36, 0xf8, 0x88, 0xc5, 0xc4, 0xc3, 0xf7, 0x36, 0xb9, 0x82,
-	0xf1, 0x5b, 0xed, 0xa8, 0xf6, 0x1a, 0x55, 0x9e, 0x5b, 0x74, 0x41, 0x23, 0x16, 0x2d, 0xf2, 0x1a,
-	0x99, 0x74, 0x32, 0x68, 0x9c, 0x88, 0x50, 0x27, 0xdf, 0xe1, 0xa4, 0x77, 0xe8, 0xa3, 0x7b, 0x0a,
-	0x53, 0xd4, 0x8e, 0x14, 0x5a, 0x1e, 0xad, 0xe2, 0xf4, 0xf8, 0x72, 0xb1, 0xee, 0x83, 0x5f, 0x87,
-	0xe3, 0x45, 0x37, 0xe0, 0xfd, 0xe5, 0x8a, 0x6c, 0x97, 0x65, 0x03, 0xd8, 0x02, 0x62, 0xd4, 0x59,
-	0x9b, 0xa0, 0x2f, 0x19, 0x87, 0x29, 0xde, 0x19, 0x45, 0x98, 0xb5, 0xc9, 0x75, 0x30, 0x79, 0x09,
-	0x8b, 0x57, 0xc6, 0xa0, 0xfe, 0xcf, 0x84, 0xfe, 0x72, 0x9f, 0xc2, 0x7c, 0xb0, 0xef, 0xfd, 0xff,
-	0xe3, 0xee, 0x97, 0x3f, 0x23, 0x18, 0x7d, 0x40, 0x24, 0xf6, 0x1c, 0x26, 0xcd, 0x53, 0x61, 0x7c,
-	0x70, 0xb3, 0x7b, 0xef, 0x69, 0x79, 0x76, 0x80, 0xf1, 0x87, 0xbf, 0x80, 0x69, 0x1b, 0x16, 0xbb,
-	0x18, 0x8c, 0xdc, 0xff, 0xc4, 0xcb, 0xf3, 0x43, 0x94, 0x5f, 0x7f, 0x03, 0xb3, 0xde, 0x2d, 0x7b,
-	0x3c, 0x98, 0xfa, 0x33, 0x83, 0xe5, 0xc5, 0x61, 0xd2, 0x14, 0xf5, 0xeb, 0xcd, 0xe7, 0x67, 0x9e,
-	0xdb, 0x22, 0x51, 0x1d, 0x86, 0x36, 0x4a, 0x3b, 0x24, 0x2d, 0x8b, 0x4d, 0xbf, 0xf3, 0xbb, 0x32,
-	0xdb, 0xed, 0x24, 0xfc, 0x3f, 0x57, 0xbf, 0x02, 0x00, 0x00, 0xff, 0xff, 0x7f, 0x5a, 0x03, 0x1a,
-	0x4d, 0x03, 0x00, 0x00,
+	// 711 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xdd, 0x6e, 0xd3, 0x30,
+	0x14, 0x56, 0x9a, 0xfe, 0xac, 0x67, 0x6b, 0x29, 0xd6, 0xd8, 0xb2, 0xa2, 0x49, 0x55, 0x10, 0x52,
+	0x35, 0xc4, 0x86, 0xb6, 0xbb, 0x49, 0x4c, 0x02, 0xc4, 0x15, 0x0c, 0x21, 0x4f, 0x70, 0xc1, 0x4d,
+	0xe5, 0x25, 0xa7, 0xc5, 0x6a, 0xeb, 0x04, 0xdb, 0xdd, 0x56, 0x89, 0xe7, 0xe0, 0x61, 0x78, 0x00,
+	0xc4, 0x53, 0x21, 0x64, 0xc7, 0xc9, 0x92, 0xad, 0x83, 0xdd, 0xf9, 0x3b, 0xe7, 0xf8, 0x7c, 0x5f,
+	0x3e, 0x1f, 0x3b, 0x00, 0x29, 0xa2, 0xdc, 0x4f, 0x65, 0xa2, 0x13, 0xd2, 0x8e, 0x24, 0x13, 0x53,
+	0x13, 0x08, 0x1f, 0x40, 0xe7, 0x4c, 0x33, 0xbd, 0x50, 0x14, 0xbf, 0x2d, 0x50, 0xe9, 0xf0, 0x87,
+	0x07, 0xeb, 0x79, 0x24, 0x9d, 0x2d, 0x49, 0x1f, 0xd6, 0xb8, 0x50, 0x9a, 0x89, 0x08, 0x03, 0x6f,
+	0xe0, 0x0d, 0xdb, 0xb4, 0xc0, 0x84, 0x40, 0x5d, 0xe0, 0x95, 0x0e, 0x6a, 0x03, 0x6f, 0xe8, 0x53,
+	0xbb, 0x26, 0x4f, 0xa1, 0x1b, 0x25, 0x62, 0xcc, 0x27, 0xa3, 0x0b, 0x94, 0x8a, 0x27, 0x22, 0xf0,
+	0x6d, 0xb6, 0x93, 0x45, 0x3f, 0x67, 0x41, 0xb2, 0x09, 0x0d, 0x89, 0x2c, 0x5e, 0x06, 0xf5, 0x81,
+	0x37, 0x5c, 0xa3, 0x19, 0x30, 0x64, 0xb1, 0x64, 0x5c, 0x70, 0x31, 0x09, 0x1a, 0x36, 0x51, 0xe0,
+	0x70, 0x0a, 0x5d, 0x8a, 0x2c, 0x7e, 0x9f, 0x4c, 0x9c, 0x54, 0xb2, 0x05, 0x4d, 0xa5, 0x25, 0xb2,
+	0xb9, 0x13, 0xe6, 0x90, 0x91, 0x35, 0x96, 0xc9, 0x3c, 0x97, 0x65, 0xd6, 0x86, 0x6f, 0xc6, 0xe7,
+	0x5c, 0x5b, 0x35, 0x0d, 0x9a, 0x01, 0xb2, 0x0d, 0xad, 0x4b, 0xc6, 0xf5, 0x68, 0xae, 0xac, 0x0e,
+	0x9f, 0x36, 0x0d, 0x3c, 0x55, 0xe1, 0x11, 0x34, 0xde, 0x0a, 0x2d, 0x97, 0x86, 0x23, 0x19, 0x8f,
+	0x15, 0x6a, 0xcb, 0xe1, 0x53, 0x87, 0x0c, 0x47, 0xcc, 0x34, 0xb3, 0x1c, 0x1b, 0xd4, 0xae, 0xc3,
+	0xef, 0xb0, 0x51, 0x28, 0x34, 0xd6, 0xed, 0x41, 0x0b, 0x85, 0x96, 0x1c, 0x55, 0xe0, 0x0d, 0xfc,
+	0xe1, 0xfa, 0x61, 0x6f, 0xbf, 0x30, 0x7e, 0xdf, 0xb6, 0xa7, 0x79, 0x81, 0xd1, 0x37, 0xe6, 0x52,
+	0xe5, 0x5e, 0x66, 0x80, 0xf4, 0xc0, 0x47, 0x11, 0x3b, 0x07, 0xcd, 0x92, 0x04, 0xd0, 0xc2, 0xab,
+	0x94, 0x4b, 0x8c, 0x9d, 0x73, 0x39, 0x0c, 0x4f, 0xa0, 0xf7, 0x2a, 0x4d, 0x51, 0xdc, 0xd3, 0xa1,
+	0x5b, 0xea, 0x87, 0xd0, 0x2d, 0xed, 0x37, 0xfa, 0xef, 0xf8, 0xf6, 0xf0, 0xd4, 0x4c, 0x48, 0x22,
+	0x91, 0x62, 0x94, 0xc8, 0xd8, 0x88, 0x9c, 0xe2, 0xd2, 0x31, 0x98, 0xa5, 0xf9, 0x98, 0x0b, 0x36,
+	0x5b, 0xa0, 0xeb, 0x9f, 0x81, 0x52, 0x3b, 0xbf, 0xd2, 0xee, 0xa7, 0x07, 0xc4, 0xf6, 0xcb, 0xe8,
+	0x73, 0xed, 0x9b, 0xd0, 0xd0, 0x49, 0xca, 0x23, 0xd7, 0x38, 0x03, 0xe4, 0x05, 0xb4, 0xa4, 0xa5,
+	0x55, 0x41, 0xcd, 0x7a, 0xba, 0x55, 0xf2, 0xb4, 0xa4, 0x8a, 0xe6, 0x65, 0xa4, 0x0b, 0x35, 0x96,
+	0x53, 0xd6, 0x98, 0x36, 0x33, 0x96, 0xca, 0x24, 0x5e, 0x44, 0x28, 0xad, 0x85, 0x6d, 0x5a, 0x60,
+	0xc3, 0x89, 0x69, 0x12, 0x7d, 0xb5, 0xc3, 0xe7, 0xd3, 0x0c, 0x98, 0x1d, 0xca, 0x88, 0x32, 0x57,
+	0xa0, 0x69, 0x13, 0x05, 0x0e, 0x3f, 0x41, 0xcf, 0xb1, 0xb2, 0xff, 0x28, 0x5f, 0x35, 0x95, 0xa5,
+	0xf9, 0xf3, 0x2b, 0xf3, 0xb7, 0xe7, 0x2c, 0xf9, 0x80, 0x97, 0xa8, 0xf4, 0x3f, 0x1b, 0x87, 0x7f,
+	0x3c, 0x00, 0xa7, 0xc1, 0x9c, 0x5a, 0xc9, 0x21, 0xef, 0x7e, 0x0e, 0xdd, 0x77, 0xf6, 0x76, 0x01,
+	0x50, 0xca, 0x44, 0x8e, 0xa6, 0x5c, 0xc4, 0xce, 0xbb, 0xb6, 0x8d, 0xbc, 0xe3, 0x22, 0x26, 0x4f,
+	0xa0, 0x93, 0xa5, 0xe7, 0xa8, 0x14, 0x9b, 0xa0, 0x35, 0xb1, 0x4d, 0x37, 0x6c, 0xf0, 0x34, 0x8b,
+	0x99, 0xe7, 0xe1, 0x52, 0x26, 0x62, 0x32, 0xaa, 0x38, 0xba, 0x46, 0x3b, 0x36, 0x7a, 0xe6, 0x82,
+	0xe4, 0x19, 0x3c, 0xc4, 0xab, 0x14, 0x23, 0x8d, 0xf1, 0x75, 0x65, 0xcb, 0x4a, 0xe9, 0xe5, 0x89,
+	0xbc, 0xf8, 0xf0, 0x97, 0x07, 0xf5, 0x8f, 0x88, 0x92, 0x1c, 0x43, 0x33, 0x7b, 0xba, 0x48, 0x50,
+	0xf9, 0xe6, 0xd2, 0xfb, 0xd6, 0xdf, 0x5a, 0x91, 0x31, 0xb6, 0xbd, 0x84, 0x96, 0xbb, 0xbc, 0x64,
+	0xa7, 0x54, 0x52, 0x7d, 0x72, 0xfa, 0xdb, 0xab, 0x52, 0x66, 0xfb, 0x1b, 0x68, 0x17, 0xb7, 0x87,
+	0x3c, 0x2e, 0x55, 0xdd, 0xbc, 0x93, 0xfd, 0x9d, 0xd5, 0xc9, 0x74, 0xb6, 0x3c, 0xfc, 0x7d, 0x7d,
+	0x92, 0x33, 0xb6, 0x24, 0x27, 0xd0, 0xcc, 0x0a, 0xc8, 0xee, 0xcd, 0x23, 0xac, 0x5c, 0x95, 0xfe,
+	0xa3, 0xdb, 0x27, 0x6c, 0x34, 0x1d, 0x43, 0xdd, 0x68, 0xac, 0xc8, 0xb9, 0x39, 0xac, 0x77, 0xed,
+	0x3d, 0x81, 0x66, 0x36, 0x7b, 0xb7, 0xb9, 0x2b, 0x33, 0x79, 0xc7, 0xfe, 0xd7, 0x07, 0x5f, 0x9e,
+	0x9b, 0xf8, 0x39, 0x4a, 0xb9, 0xb4, 0x05, 0x07, 0x5c, 0x68, 0x94, 0x82, 0xcd, 0x0e, 0x8a, 0xfa,
+	0xeb, 0x55, 0x7a, 0x7e, 0xde, 0xb4, 0xbf, 0xa6, 0xa3, 0xbf, 0x01, 0x00, 0x00, 0xff, 0xff, 0x5d,
+	0x1e, 0x51, 0xed, 0xa8, 0x06, 0x00, 0x00,
 }
--- a/internal/crankpeer/server.go
+++ b/internal/crankpeer/server.go
@@ -25,14 +25,18 @@
 
 // NewHandler returns the HTTP handler of the peer service.
 func NewHandler(c ServerConfig) http.Handler {
-	handler := crankpeerpb.NewPeerServer(&server{c})
+	return authenticated(c.Key, crankpeerpb.NewPeerServer(&server{c}))
+}
+
+// authenticated refuses calls without the key.
+func authenticated(key string, next http.Handler) http.Handler {
 	return http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
-		want := "Bearer " + c.Key
+		want := "Bearer " + key
 		if subtle.ConstantTimeCompare([]byte(r.Header.Get("Authorization")), []byte(want)) != 1 {
 			_ = twirp.WriteError(rw, twirp.Unauthenticated.Error("the peer key is wrong"))
 			return
 		}
-		handler.ServeHTTP(rw, r)
+		next.ServeHTTP(rw, r)
 	})
 }
 
--- /dev/null
+++ b/internal/crankpeer/store_server.go
@@ -0,0 +1,54 @@
+package crankpeer
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankpeer/crankpeerpb"
+)
+
+// maxRelayedWait bounds the wait of a relayed read.
+const maxRelayedWait = 2 * time.Second
+
+// NewStoreHandler returns the HTTP handler that serves a store to the
+// instances that know the key.
+func NewStoreHandler(store crank.Store, key string) http.Handler {
+	return authenticated(key, crankpeerpb.NewStoreRelayServer(&storeServer{store}))
+}
+
+type storeServer struct{ store crank.Store }
+
+// Append implements crankpeerpb.StoreRelay.
+func (s *storeServer) Append(ctx context.Context, r *crankpeerpb.StoreAppendRequest) (*crankpeerpb.StoreReply, error) {
+	end, err := s.store.Append(ctx, crank.StoreAppend{
+		Topic: crank.Topic(r.Topic), Records: fromRecords(r.Records), At: crank.Offset(r.At), Producer: r.Producer, Epoch: r.Epoch, Sequence: r.Sequence,
+	})
+	return storeReply(crank.KeyedBatch{End: end}, err), nil
+}
+
+// Read implements crankpeerpb.StoreRelay.
+func (s *storeServer) Read(ctx context.Context, r *crankpeerpb.StoreReadRequest) (*crankpeerpb.StoreReply, error) {
+	wait := min(time.Duration(r.WaitMs)*time.Millisecond, maxRelayedWait)
+	return storeReply(s.store.Read(ctx, crank.Topic(r.Topic), crank.Offset(r.From), wait)), nil
+}
+
+// Newest implements crankpeerpb.StoreRelay.
+func (s *storeServer) Newest(ctx context.Context, r *crankpeerpb.StoreNewestRequest) (*crankpeerpb.StoreReply, error) {
+	return storeReply(s.store.Newest(ctx, crank.Topic(r.Topic))), nil
+}
+
+// storeReply carries errors with their kinds, which the other side acts on.
+func storeReply(b crank.KeyedBatch, err error) *crankpeerpb.StoreReply {
+	if err == nil {
+		return &crankpeerpb.StoreReply{Records: toRecords(b.Records), First: int64(b.First), End: int64(b.End)}
+	}
+	reply := &crankpeerpb.StoreReply{ErrorKind: string(crank.KindOf(err)), ErrorMessage: err.Error()}
+	var wrong *crank.SequenceError
+	if errors.As(err, &wrong) {
+		reply.WrongSequence, reply.ExpectedSequence = true, wrong.Expected
+	}
+	return reply
+}
--- a/internal/crankrelay/relay.go
+++ b/internal/crankrelay/relay.go
@@ -1,5 +1,5 @@
-// Package crankrelay reaches the platform's log through another entry instance
-// while this one can't reach it itself.
+// Package crankrelay reaches the platform's log or store through another entry
+// instance while this one can't reach it itself.
 package crankrelay
 
 import (
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -116,15 +116,18 @@
 	}
 }
 
-// sweep removes jobs that ended long ago from the store.
+// sweep removes jobs that ended long ago, and instances that have been silent
+// for long, from the store.
 func (s *Scheduler) sweep() {
 	now := time.Now()
 	if now.Before(s.sweepAt) {
 		return
 	}
 	s.sweepAt = now.Add(sweepPeriod)
-	ids := s.Book.View().State.EndedBefore(now.Add(-s.Retention))
-	if len(ids) == 0 {
+	state := s.Book.View().State
+	ids := state.EndedBefore(now.Add(-s.Retention))
+	_, silent := state.Instances(now)
+	if len(ids)+len(silent) == 0 {
 		return
 	}
 	var records []crank.KeyedRecord
@@ -134,11 +137,14 @@
 			records = append(records, crankbook.RemovalRecords(id)...)
 		}
 	}
+	for _, id := range silent {
+		records = append(records, crankbook.ForgetRecord(id))
+	}
 	go func() {
 		if _, err := s.writer.Append(s.ctx, records...); err != nil {
-			s.Logger.Warn("sched: ended jobs not removed", "jobs", len(ids), "error", err)
+			s.Logger.Warn("sched: old records not removed", "jobs", len(ids), "instances", len(silent), "error", err)
 			return
 		}
-		s.Logger.Info("sched: ended jobs removed", "jobs", len(ids))
+		s.Logger.Info("sched: old records removed", "jobs", len(ids), "instances", len(silent))
 	}()
 }
--- a/peer.go
+++ b/peer.go
@@ -23,3 +23,10 @@
 type PeerDialer interface {
 	Peer(addr string) Peer
 }
+
+// StorePeerDialer returns the store as another entry instance reaches it, by
+// the instance's address and the key that it gave out. That instance never
+// passes a call on to a third one.
+type StorePeerDialer interface {
+	StorePeer(addr, key string) Store
+}
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -43,6 +43,7 @@
 	entries map[string]*member
 	dead    map[string]bool // callers that nothing comes from
 	cut     map[string]bool // callers that don't reach the store
+	apart   map[string]bool // callers that reach no other instance
 	away    map[string]bool // workers that nobody reaches
 	silent  map[string]bool // workers whose entries are no longer written
 	listed  map[string]crank.WorkerEntry
@@ -64,7 +65,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
 			t: t, store: crankfakestore.New(), started: time.Now(), jobs: make(map[string]crank.StepJob),
-			entries: make(map[string]*member), dead: make(map[string]bool), cut: make(map[string]bool),
+			entries: make(map[string]*member), dead: make(map[string]bool), cut: make(map[string]bool), apart: make(map[string]bool),
 			away: make(map[string]bool), silent: make(map[string]bool), listed: make(map[string]crank.WorkerEntry),
 		}
 		c.store.SetFaults(c.storeFault)
@@ -207,12 +208,12 @@
 	ctx, stop := context.WithCancel(context.Background())
 	m := &member{caller: caller, stop: stop, done: make(chan struct{})}
 	m.Entry = crankentry.New(crankentry.Config{
-		Instance: name, Store: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
+		Instance: name, Zone: name, PeerAddr: name, Peers: peers{c, caller}, Store: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
 		DecodeWorker: crankfakefleet.Decode, DecodeOperator: decodeOperator, Bounds: bounds, ResultRetention: 2 * time.Minute,
 		Uptime: func() time.Duration { return time.Since(c.started) },
 		Logger: slog.New(slog.NewTextHandler(logOutput, nil)).With("instance", caller), Scope: tally.NoopScope,
 	})
-	c.entries[name] = m
+	c.set(func() { c.entries[name] = m })
 	go func() {
 		defer close(m.done)
 		feeds := make(chan struct{})
@@ -227,13 +228,88 @@
 	}()
 }
 
+// peers lets an instance reach the store through others, whose address is
+// their name.
+type peers struct {
+	c      *cluster
+	caller string
+}
+
+// StorePeer implements crank.StorePeerDialer.
+func (p peers) StorePeer(addr, _ string) crank.Store { return peerStore{p, addr} }
+
+type peerStore struct {
+	peers
+	name string
+}
+
+// reach returns the other instance's store, or waits for the end of a call
+// that does not arrive.
+func (p peerStore) reach(ctx context.Context) (crank.Store, error) {
+	p.c.mu.Lock()
+	m := p.c.entries[p.name]
+	lost := m == nil || p.c.dead[p.caller] || p.c.dead[m.caller] || p.c.apart[p.caller] || p.c.apart[m.caller]
+	p.c.mu.Unlock()
+	if lost {
+		<-ctx.Done()
+		return nil, crank.Wrap("peer call", crank.KindUnknown, ctx.Err())
+	}
+	time.Sleep(time.Millisecond)
+	return m.PeerStore(), nil
+}
+
+// Append implements crank.Store.
+func (p peerStore) Append(ctx context.Context, a crank.StoreAppend) (crank.Offset, error) {
+	store, err := p.reach(ctx)
+	if err != nil {
+		return 0, err
+	}
+	return store.Append(ctx, a)
+}
+
+// Read implements crank.Store.
+func (p peerStore) Read(ctx context.Context, topic crank.Topic, from crank.Offset, wait time.Duration) (crank.KeyedBatch, error) {
+	store, err := p.reach(ctx)
+	if err != nil {
+		return crank.KeyedBatch{}, err
+	}
+	return store.Read(ctx, topic, from, wait)
+}
+
+// Newest implements crank.Store.
+func (p peerStore) Newest(ctx context.Context, topic crank.Topic) (crank.KeyedBatch, error) {
+	store, err := p.reach(ctx)
+	if err != nil {
+		return crank.KeyedBatch{}, err
+	}
+	return store.Newest(ctx, topic)
+}
+
+// turnAway cuts an instance from the store; it still reaches the others.
+func (c *cluster) turnAway(name string) {
+	c.set(func() { c.cut[c.entries[name].caller] = true })
+}
+
+// cutOff cuts an instance from the store and from the others.
+func (c *cluster) cutOff(name string) {
+	c.turnAway(name)
+	c.set(func() { c.apart[c.entries[name].caller] = true })
+}
+
+func (c *cluster) reconnect() {
+	c.set(func() {
+		clear(c.cut)
+		clear(c.apart)
+	})
+}
+
 // kill ends an instance at once: nothing it sends from now on arrives.
 func (c *cluster) kill(name string) {
 	m := c.entries[name]
 	c.set(func() { c.dead[m.caller] = true })
 	m.stop()
 	<-m.done
-	delete(c.entries, name)
+	c.set(func() { delete(c.entries, name) })
 }
 
 // term ends an instance gracefully.
@@ -241,7 +317,7 @@
 	m := c.entries[name]
 	m.stop()
 	<-m.done
-	delete(c.entries, name)
+	c.set(func() { delete(c.entries, name) })
 }
 
 // startAll runs instances and waits until they are ready.
--- a/proofs/crankentryproof/drawn_test.go
+++ b/proofs/crankentryproof/drawn_test.go
@@ -54,11 +54,18 @@
 			c.term(name)
 		}
 	}, (*cluster).restartAll},
-	{"the planner is cut from the store", func(c *cluster, _ *rand.Rand) {
+	{"the planner is cut off", func(c *cluster, _ *rand.Rand) {
 		if name := c.leader(); name != "" {
-			c.set(func() { c.cut[c.entries[name].caller] = true })
+			c.cutOff(name)
 		}
-	}, func(c *cluster) { c.set(func() { clear(c.cut) }) }},
+	}, (*cluster).reconnect},
+	{"the store turns the planner and another instance away", func(c *cluster, r *rand.Rand) {
+		for _, name := range []string{c.leader(), instances[r.IntN(len(instances))]} {
+			if c.entries[name] != nil {
+				c.turnAway(name)
+			}
+		}
+	}, (*cluster).reconnect},
 	{"the store is away", func(c *cluster, r *rand.Rand) {
 		silent := r.IntN(2) == 0
 		c.set(func() {
--- a/proofs/crankentryproof/path_test.go
+++ b/proofs/crankentryproof/path_test.go
@@ -150,11 +150,11 @@
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
 		c.open(1)
-		c.set(func() { c.cut[c.entries["a"].caller] = true })
+		c.cutOff("a")
 		time.Sleep(crankgate.ConfigFreshness + 2*time.Second)
 		is.True(!c.entries["a"].Ready())
 		is.Equal(crank.KindOf(c.submit("a", "patient", "job1", single(1, time.Second))), crank.KindUnavailable)
-		c.set(func() { clear(c.cut) })
+		c.reconnect()
 		time.Sleep(3 * time.Second)
 		is.True(c.entries["a"].Ready())
 	})
--- a/proofs/cranksoak/soak_test.go
+++ b/proofs/cranksoak/soak_test.go
@@ -197,13 +197,14 @@
 
 func (s *soak) addEntry(i int) {
 	e := &entry{name: fmt.Sprintf("entry-%d", i), addr: freePort(s.t)}
-	ready, metrics := freePort(s.t), freePort(s.t)
+	ready, peer, metrics := freePort(s.t), freePort(s.t), freePort(s.t)
 	_, port, _ := net.SplitHostPort(metrics)
 	text := fmt.Sprintf(`[instance]
 id = %s
 zone = z%d
 listen = %s
 ready-listen = %s
+peer-listen = %s
 metrics-port = %s
 [platform]
 store = %s
@@ -213,7 +214,7 @@
 gang-timeout = %s
 [running]
 drain-timeout = 4s
-`, e.name, i, e.addr, ready, port, s.proxies[i].addr(), bounds.HoldLimit, bounds.StopTime, bounds.GangTimeout)
+`, e.name, i, e.addr, ready, peer, port, s.proxies[i].addr(), bounds.HoldLimit, bounds.StopTime, bounds.GangTimeout)
 	e.settings = filepath.Join(s.t.TempDir(), e.name+".ini")
 	if err := os.WriteFile(e.settings, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
