--- a/internal/crankbook/book.go
+++ b/internal/crankbook/book.go
@@ -7,6 +7,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/internal/crankwait"
 )
 
 // View is a state and how current it is.
@@ -93,17 +94,13 @@
 	case b.hurry <- struct{}{}:
 	default:
 	}
-	for {
-		v, changed := b.Get()
-		if condition(v) {
-			return v, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return v, crank.Wrap("book wait", crank.KindUnavailable, ctx.Err())
-		}
-	}
+	var v View
+	err := crankwait.Until(ctx, "book wait", func() (bool, <-chan struct{}) {
+		var changed <-chan struct{}
+		v, changed = b.Get()
+		return condition(v), changed
+	})
+	return v, err
 }
 
 func (b *Book) await(calls int) {
--- a/internal/crankbox/box.go
+++ b/internal/crankbox/box.go
@@ -9,6 +9,7 @@
 
 	crank "cranberrycrank"
 	"cranberrycrank/internal/crankfold"
+	"cranberrycrank/internal/crankwait"
 )
 
 // View is a state and the time at which it was certainly current.
@@ -58,15 +59,11 @@
 // Wait returns the first view that satisfies a condition. It fails with
 // KindUnavailable when the context ends.
 func (b *Box) Wait(ctx context.Context, condition func(View) bool) (View, error) {
-	for {
-		v, changed := b.Get()
-		if condition(v) {
-			return v, nil
-		}
-		select {
-		case <-changed:
-		case <-ctx.Done():
-			return v, crank.Wrap("state wait", crank.KindUnavailable, ctx.Err())
-		}
-	}
+	var v View
+	err := crankwait.Until(ctx, "state wait", func() (bool, <-chan struct{}) {
+		var changed <-chan struct{}
+		v, changed = b.Get()
+		return condition(v), changed
+	})
+	return v, err
 }
--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -50,13 +50,12 @@
 // Times of the feeds.
 const (
 	operatorWait = 1 * time.Second        // bounds the age of the configuration while nothing is published
-	bookWait     = 500 * time.Millisecond // bounds the age of the book while nothing happens
 	bookGap      = 500 * time.Millisecond // an instance reads at most so often while nobody waits for news
 	plannerGap   = 15 * time.Millisecond  // the planner, and an instance whose callers wait, read at most so often
 	// The store answers a waiting read that arrives during an append only with
-	// the next one, so who needs news does not wait for long.
-	plannerWait = 150 * time.Millisecond
-	newsWait    = 60 * time.Millisecond
+	// the next one, so reads do not wait for long.
+	bookWait = 150 * time.Millisecond
+	newsWait = 60 * time.Millisecond // while callers wait for news
 	// retentionMargin is added to the retention: instances learn of ends at
 	// different times.
 	retentionMargin = 60 * time.Second
@@ -108,11 +107,8 @@
 }
 
 func (e *Entry) bookWait() time.Duration {
-	switch {
-	case e.book.Awaited():
+	if e.book.Awaited() {
 		return newsWait
-	case e.leading.Load():
-		return plannerWait
 	}
 	return bookWait
 }
--- a/internal/crankfeed/follower.go
+++ b/internal/crankfeed/follower.go
@@ -63,26 +63,12 @@
 			continue
 		}
 		if f.Gap != nil {
-			f.pause(ctx, f.Gap()-time.Since(begun))
+			pause(ctx, f.Gap()-time.Since(begun), f.Hurry)
 		}
 	}
 	return nil
 }
 
-// pause waits for the rest of a gap.
-func (f *Follower) pause(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-f.Hurry:
-	case <-ctx.Done():
-	}
-}
-
 // note logs when the topic is lost and when it is read again.
 func (f *Follower) note(err error) {
 	switch {
@@ -148,7 +134,10 @@
 }
 
 // Pause waits for a time, or until the context ends.
-func Pause(ctx context.Context, d time.Duration) {
+func Pause(ctx context.Context, d time.Duration) { pause(ctx, d, nil) }
+
+// pause is a Pause that a token in hurry ends early.
+func pause(ctx context.Context, d time.Duration, hurry <-chan struct{}) {
 	if d <= 0 {
 		return
 	}
@@ -156,6 +145,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
+	case <-hurry:
 	case <-ctx.Done():
 	}
 }
--- a/internal/crankrelay/store.go
+++ b/internal/crankrelay/store.go
@@ -134,6 +134,9 @@
 		select {
 		case r := <-replies:
 			pending--
+			if ctx.Err() != nil {
+				return r
+			}
 			if !r.retryable() {
 				s.worked(r, tried, failure.err)
 				return r
--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -164,7 +164,7 @@
 }
 
 // finish ends a task as done.
-func (s *Scheduler) finish(t *task, run int64) {
+func (s *Scheduler) finish(t *task) {
 	if t.done || t.step.Lasting {
 		return
 	}
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -18,7 +18,7 @@
 	for i, t := range tasks {
 		w := workers[i]
 		p := &placement{id: t.id, task: t, worker: w, run: run, room: t.step.Room(), key: stepKey(t), step: t.step, state: ordered, began: time.Now()}
-		p.certain = w.keeper.Deadline(startWindow)
+		p.certain = w.keeper.Deadline(s.startWindow())
 		t.lastRun, t.place = run, p
 		t.job.running++
 		w.places[t.id] = p
@@ -26,6 +26,12 @@
 	}
 }
 
+// startWindow returns how long a start is good. All members of a gang must have
+// come before the first one gives up waiting.
+func (s *Scheduler) startWindow() time.Duration {
+	return min(startWindow, time.Duration(gangShare*float64(s.Bounds.GangTimeout)))
+}
+
 func (s *Scheduler) sendStart(p *placement) {
 	t := p.task
 	order := crank.RunOrder{Task: p.id, Run: p.run, Payload: t.job.spec.Payload, Checkpoint: t.saved, Fence: s.Term, Until: p.certain}
@@ -123,7 +129,7 @@
 }
 
 func (s *Scheduler) sendStop(p *placement) {
-	p.stopAt = time.Now().Add(stopTimeout + stopRetry)
+	p.stopAt = time.Now().Add(stopTimeout + s.Bounds.StopTime + stopMargin)
 	if !s.Holding.Valid() {
 		return
 	}
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -99,7 +99,7 @@
 	case crank.EndDone:
 		s.good(w)
 		if current {
-			s.takeDone(t, e.Run)
+			s.takeDone(t)
 		}
 	case crank.EndFailed:
 		s.bad(w, j.spec.ID)
@@ -127,9 +127,9 @@
 }
 
 // takeDone ends a task, or the whole gang, as done.
-func (s *Scheduler) takeDone(t *task, run int64) {
+func (s *Scheduler) takeDone(t *task) {
 	if !t.step.Gang {
-		s.finish(t, run)
+		s.finish(t)
 		return
 	}
 	endBy := time.Now().Add(gangEndTime)
@@ -137,7 +137,7 @@
 		if m.place != nil {
 			m.place.endBy = endBy
 		}
-		s.finish(m, run)
+		s.finish(m)
 	}
 }
 
@@ -186,8 +186,7 @@
 // adopt books a run that this planner did not start: one of an earlier term,
 // or one that nobody wants any more, which is stopped.
 func (s *Scheduler) adopt(w *worker, a crank.ActiveRun) *placement {
-	p := &placement{id: a.Task, worker: w, run: a.Run, state: running, certain: never, began: time.Now(), moved: time.Now(), percent: a.Percent}
-	p.certain = 0
+	p := &placement{id: a.Task, worker: w, run: a.Run, state: running, began: time.Now(), moved: time.Now(), percent: a.Percent}
 	w.places[a.Task] = p
 	s.changed = true
 	j := s.jobs[a.Task.Job]
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -68,9 +68,10 @@
 	roundShare     = 5                       // rounds take at most one part in so many of the time
 	startTimeout   = 600 * time.Millisecond  // of one try of a start
 	startTries     = 2                       // tries of a start that gets no answer
-	startWindow    = 1600 * time.Millisecond // a start is refused by the worker later than this
+	startWindow    = 1600 * time.Millisecond // a start is refused by the worker later than this; two tries fit
+	gangShare      = 0.6                     // of the time that a gang member waits for the others, for starts at the most
 	stopTimeout    = 600 * time.Millisecond  // of one try of a stop
-	stopRetry      = 500 * time.Millisecond  // between tries of a stop that has no effect yet
+	stopMargin     = 300 * time.Millisecond  // for the report of an end, before a stop without effect is repeated
 	gangEndTime    = 2 * time.Second         // the members of a gang that is done list their ends within one hold
 	writeRetry     = 100 * time.Millisecond  // after a refused write
 	unlistedGrace  = 2500 * time.Millisecond // an entry that lapsed while the store was away is back by then
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math"
 	"time"
 
 	crank "cranberrycrank"
@@ -35,9 +34,6 @@
 	stopping state = "stopping"
 )
 
-// never is a time on a worker's clock that is not reached.
-const never = math.MaxInt64
-
 // placement is a run of a task that holds room at a worker.
 type placement struct {
 	id      crank.TaskID
