Metrics of the queue by priority, of places, leases and held workers

Asked for by the operators: histograms of the queue by class and of leases were missing. Gauges of waiting jobs by priority, running tasks, listed and held workers; histograms of the time to a place and to the first start by priority; a count of lapsed leases. No decision changes.

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -19,6 +19,7 @@
 		w := workers[i]
 		p := &placement{id: t.id, task: t, worker: w, run: run, room: t.step.Room(), key: stepKey(t), step: t.step, state: ordered, began: time.Now()}
 		p.certain = w.keeper.Deadline(s.startWindow())
+		s.byPriority(t.job.spec.Priority).Timer("place_wait").Record(time.Since(t.idle))
 		t.lastRun, t.place = run, p
 		t.job.running++
 		w.places[t.id] = p
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -179,7 +179,7 @@
 	if !t.job.progress.Begun {
 		t.job.progress.Begun = true
 		s.mark(t.job)
-		s.Scope.Timer("accepted_to_begun").Record(time.Since(t.job.seen))
+		s.byPriority(t.job.spec.Priority).Timer("accepted_to_begun").Record(time.Since(t.job.seen))
 	}
 }
 
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -110,6 +110,9 @@
 	within    map[string]bool    // workspaces whose urgent work is within their guarantee
 	evidence  map[string]*record // what runs have shown of workers, by life
 	dropped   map[string]bool    // jobs that ended in this term; the book may not show it yet
+
+	gaugesAt   time.Time
+	priorities map[int]bool // that jobs have had
 }
 
 // New returns a scheduler for one term. It works while Run runs.
@@ -126,6 +129,8 @@
 		pending:  make(map[string]bool),
 		evidence: make(map[string]*record),
 		dropped:  make(map[string]bool),
+
+		priorities: make(map[int]bool),
 	}
 }
 
@@ -233,4 +238,5 @@
 	}
 	s.write()
 	s.sweep()
+	s.updateGauges(now)
 }
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -153,6 +153,7 @@
 	}
 	for _, w := range s.workers {
 		if w.failing > 0 && len(w.places) > 0 && now.After(w.keeper.LeaseOver()) {
+			s.Scope.Counter("leases_lapsed").Inc(1)
 			s.Logger.Warn("sched: lease over without an answer", "worker", w.entry.ID, "born", w.entry.Born, "lost", len(w.places))
 			for _, p := range w.places {
 				s.release(p, "lease over")
