Keep a relayed call unknown while another path may still carry it out

Cause, found in a reading of the change: when the context of a call ended, the first reply that came was returned as it was. A peer's refusal that came then would have told a caller that its job never runs, while the call on the direct path was still under way. Now the error is unknown as long as a path has the call. TestRefusalAfterTheEndOfACall failed before.

--- a/internal/crankrelay/store.go
+++ b/internal/crankrelay/store.go
@@ -134,9 +134,6 @@
 		select {
 		case r := <-replies:
 			pending--
-			if ctx.Err() != nil {
-				return r
-			}
 			if !r.retryable() {
 				s.worked(r, tried, failure.err)
 				return r
@@ -145,10 +142,13 @@
 				failure = r
 			}
 			uncertain = uncertain || crank.KindOf(r.err) == crank.KindUnknown
-			s.rest(r.peer)
-			launch()
-			if pending == 0 {
-				if uncertain {
+			over := ctx.Err() != nil
+			if !over {
+				s.rest(r.peer)
+				launch()
+			}
+			if pending == 0 || over {
+				if uncertain || pending > 0 {
 					failure.err = &crank.Error{Op: "store call", Kind: crank.KindUnknown, Cause: failure.err}
 				}
 				return failure
--- a/internal/crankrelay/store_test.go
+++ b/internal/crankrelay/store_test.go
@@ -102,6 +102,53 @@
 	}
 }
 
+// A refusal by one path says nothing about another one that has the call.
+func TestRefusalWhileAnotherPathHasTheCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		for _, peerDelay := range []time.Duration{0, 100 * time.Millisecond, silent} {
+			ctx, cancel := context.WithTimeout(t.Context(), hedgeDelay+50*time.Millisecond)
+			_, err := newStore(&scriptedStore{delay: silent}, &scriptedStore{delay: peerDelay, err: refused}).Append(ctx, appending)
+			cancel()
+			is.Equal(crank.KindOf(err), crank.KindUnknown)
+		}
+	})
+}
+
+// lateRefusal answers after its context has ended that nothing was done.
+type lateRefusal struct{ scriptedStore }
+
+// Append implements crank.Store.
+func (s *lateRefusal) Append(ctx context.Context, _ crank.StoreAppend) (crank.Offset, error) {
+	<-ctx.Done()
+	return 0, refused
+}
+
+func TestRefusalAfterTheEndOfACall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		slow := &deafStore{}
+		s := NewStore(StoreConfig{
+			Primary: slow, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			Peers: func() []StorePeer { return []StorePeer{{ID: "a", Store: &lateRefusal{}}} },
+		})
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		_, err := s.Append(ctx, appending)
+		is.Equal(crank.KindOf(err), crank.KindUnknown)
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// deafStore takes a second longer than its callers wait.
+type deafStore struct{ scriptedStore }
+
+// Append implements crank.Store.
+func (s *deafStore) Append(context.Context, crank.StoreAppend) (crank.Offset, error) {
+	time.Sleep(2 * time.Second)
+	return 0, nil
+}
+
 func TestPeersAreAskedFirstWhileThePrimaryIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
