--- a/internal/crankrelay/store_test.go
+++ b/internal/crankrelay/store_test.go
@@ -45,6 +45,24 @@
 	return crank.KeyedBatch{}, s.answer(ctx)
 }
 
+// lateRefusal answers after its context has ended that nothing was done.
+type lateRefusal struct{ scriptedStore }
+
+// Append implements crank.Store.
+func (s *lateRefusal) Append(ctx context.Context, _ crank.StoreAppend) (crank.Offset, error) {
+	<-ctx.Done()
+	return 0, refused
+}
+
+// deafStore carries a call on after its callers have left.
+type deafStore struct{ scriptedStore }
+
+// Append implements crank.Store.
+func (s *deafStore) Append(context.Context, crank.StoreAppend) (crank.Offset, error) {
+	time.Sleep(2 * time.Second)
+	return 0, nil
+}
+
 const silent = time.Hour
 
 var (
@@ -115,21 +133,11 @@
 	})
 }
 
-// lateRefusal answers after its context has ended that nothing was done.
-type lateRefusal struct{ scriptedStore }
-
-// Append implements crank.Store.
-func (s *lateRefusal) Append(ctx context.Context, _ crank.StoreAppend) (crank.Offset, error) {
-	<-ctx.Done()
-	return 0, refused
-}
-
 func TestRefusalAfterTheEndOfACall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		slow := &deafStore{}
 		s := NewStore(StoreConfig{
-			Primary: slow, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			Primary: &deafStore{}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			Peers: func() []StorePeer { return []StorePeer{{ID: "a", Store: &lateRefusal{}}} },
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
@@ -140,15 +148,6 @@
 	})
 }
 
-// deafStore takes a second longer than its callers wait.
-type deafStore struct{ scriptedStore }
-
-// Append implements crank.Store.
-func (s *deafStore) Append(context.Context, crank.StoreAppend) (crank.Offset, error) {
-	time.Sleep(2 * time.Second)
-	return 0, nil
-}
-
 func TestPeersAreAskedFirstWhileThePrimaryIsLost(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
