Spare other workspaces' urgent work while patient work makes room

Victims were chosen by the work that a stop throws away alone, and urgent runs are young and so the cheapest.

Work of equal priority beyond its workspace's guarantee is now stopped only where patient work does not make enough room.

Test: TestGuaranteedGangSparesUrgentWork, which failed before.

--- a/internal/cranksched/victim.go
+++ b/internal/cranksched/victim.go
@@ -7,9 +7,15 @@
 )
 
 // preempt stops the cheapest work of lower rank that makes room for a request.
+// Other workspaces' urgent work is stopped only where patient work does not
+// make enough.
 func (s *Scheduler) preempt(u unit, floor *crankpack.Floor, q crankpack.Request) bool {
-	victims, places := s.victims(u)
+	victims, places := s.victims(u, false)
 	chosen := floor.Preempt(q, victims)
+	if chosen == nil && u.rank == rankGuaranteed {
+		victims, places = s.victims(u, true)
+		chosen = floor.Preempt(q, victims)
+	}
 	if chosen == nil {
 		return false
 	}
@@ -31,8 +37,9 @@
 	return true
 }
 
-// victims returns the work that a unit may stop, and one run of each.
-func (s *Scheduler) victims(u unit) ([]crankpack.Victim, []*placement) {
+// victims returns the work that a unit may stop, and one run of each. With
+// urgent, that is also work as urgent beyond its workspace's guarantee.
+func (s *Scheduler) victims(u unit, urgent bool) ([]crankpack.Victim, []*placement) {
 	var victims []crankpack.Victim
 	var places []*placement
 	gangs := make(map[string]int)
@@ -42,7 +49,7 @@
 			continue
 		}
 		for _, p := range w.places {
-			if !s.mayStop(u, p) || !p.maySpare(spared) {
+			if !s.mayStop(u, p, urgent) || !p.maySpare(spared) {
 				continue
 			}
 			part := crankpack.VictimPart{Worker: w.entry.ID, Holds: p.room}
@@ -61,7 +68,7 @@
 }
 
 // mayStop reports whether a unit may stop a run.
-func (s *Scheduler) mayStop(u unit, p *placement) bool {
+func (s *Scheduler) mayStop(u unit, p *placement, urgent bool) bool {
 	if p.state != running || p.task == nil {
 		return false
 	}
@@ -69,7 +76,7 @@
 		return false
 	}
 	spec := p.task.job.spec
-	return spec.Priority > u.job.spec.Priority || (u.rank == rankGuaranteed && !s.within[spec.Workspace])
+	return spec.Priority > u.job.spec.Priority || (urgent && u.rank == rankGuaranteed && !s.within[spec.Workspace])
 }
 
 // maySpare reports whether a run may be stopped as far as its step limits how
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -29,6 +29,7 @@
 	heartbeat = 1500 * time.Millisecond // between a worker's entries
 	host      = "desk.example"
 	callerKey = "key-of-the-desk"
+	wardKey   = "key-of-the-ward" // of a workspace without a guarantee
 )
 
 // cluster is a store, workers and entry instances in one synctest bubble.
@@ -37,6 +38,7 @@
 	store   *crankfakestore.Store
 	fleet   *crankfakefleet.Fleet
 	started time.Time
+	key     string // of the caller
 
 	mu      sync.Mutex
 	jobs    map[string]crank.StepJob
@@ -64,7 +66,7 @@
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
 		c := &cluster{
-			t: t, store: crankfakestore.New(), started: time.Now(), jobs: make(map[string]crank.StepJob),
+			t: t, store: crankfakestore.New(), started: time.Now(), key: callerKey, jobs: make(map[string]crank.StepJob),
 			entries: make(map[string]*member), dead: make(map[string]bool), cut: make(map[string]bool), apart: make(map[string]bool),
 			away: make(map[string]bool), silent: make(map[string]bool), listed: make(map[string]crank.WorkerEntry),
 		}
@@ -180,7 +182,7 @@
 			{Name: "urgent", Host: host, Prefix: "/urgent/", Pool: "desk", Priority: 0, Attempts: 3, Slack: 1.5, Target: 250 * time.Millisecond},
 			{Name: "patient", Host: host, Prefix: "/patient/", Pool: "desk", Priority: 1, Attempts: 3, Slack: 3, Target: time.Second},
 		},
-		Workspaces: []crank.QueueWorkspace{{Name: "desk", Keys: []string{callerKey}, Guaranteed: 32}},
+		Workspaces: []crank.QueueWorkspace{{Name: "desk", Keys: []string{callerKey}, Guaranteed: 32}, {Name: "ward", Keys: []string{wardKey}}},
 	}
 	data, err := json.Marshal(config)
 	if err != nil {
@@ -375,7 +377,7 @@
 // submit hands a job in through an instance.
 func (c *cluster) submit(entry, queue, id string, steps ...crank.Step) error {
 	job := crank.StepJob{Payload: "plan " + id, Steps: steps}
-	r, err := c.entries[entry].Gate.Route(crankgate.Address{Host: host, Path: "/" + queue + "/" + id, Key: callerKey, Deadline: 3 * time.Second})
+	r, err := c.entries[entry].Gate.Route(crankgate.Address{Host: host, Path: "/" + queue + "/" + id, Key: c.key, Deadline: 3 * time.Second})
 	if err != nil {
 		return err
 	}
@@ -386,7 +388,7 @@
 }
 
 func (c *cluster) cancel(entry, queue, id string) error {
-	r, err := c.entries[entry].Gate.Route(crankgate.Address{Host: host, Path: "/" + queue + "/" + id, Key: callerKey})
+	r, err := c.entries[entry].Gate.Route(crankgate.Address{Host: host, Path: "/" + queue + "/" + id, Key: c.key})
 	if err != nil {
 		return err
 	}
@@ -395,7 +397,7 @@
 
 // phase asks an instance for the state of a job.
 func (c *cluster) phase(entry, queue, id string) (crankbook.Phase, error) {
-	r, err := c.entries[entry].Gate.Route(crankgate.Address{Host: host, Path: "/" + queue + "/" + id, Key: callerKey})
+	r, err := c.entries[entry].Gate.Route(crankgate.Address{Host: host, Path: "/" + queue + "/" + id, Key: c.key})
 	if err != nil {
 		return "", err
 	}
--- a/proofs/crankentryproof/path_test.go
+++ b/proofs/crankentryproof/path_test.go
@@ -81,6 +81,24 @@
 	})
 }
 
+func TestGuaranteedGangSparesUrgentWork(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.open(4)
+		is.NoErr(c.submit("a", "patient", "job1", single(16, 20*time.Second)))
+		time.Sleep(2 * time.Second)
+		c.key = wardKey // without a guarantee, and cheaper to stop
+		is.NoErr(c.submit("a", "urgent", "job2", gang(2, 8, 4*time.Second)))
+		time.Sleep(500 * time.Millisecond)
+		c.key = callerKey
+		anywhere := gang(2, 8, time.Second)
+		anywhere.SameRack = false
+		is.NoErr(c.submit("b", "urgent", "job3", anywhere))
+		c.await("c", "urgent", "job3", crankbook.PhaseCompleted, 2700*time.Millisecond)
+		c.await("c", "urgent", "job2", crankbook.PhaseCompleted, 3*time.Second) // it was not stopped
+	})
+}
+
 func TestWorkerThatFailsEverythingIsShunned(t *testing.T) {
 	play(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
