Do not take a worker for gone that an earlier holder of the term may still hold

The holder worked on there, as it may for 10 s. Its successor never reached those workers; when their entries had lapsed, it took them for gone, since the lease that it knew of was the zero time, and started their tasks again while the first runs were done or still went on.

A life of an earlier term that is not accounted for now counts as gone only when it said that it leaves, or all leases of earlier holders are over.

Test: TestWorkersCutOffWithThePlannerAreNotGone, which failed before. The stand-in of the workers now also notes a task that was started again after an end that is acknowledged later.

--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -85,8 +85,10 @@
 			w.unlisted = now
 		}
 		// A worker that said that it leaves, and is neither listed nor answers,
-		// has left. Another one may be cut off and run on until its lease is over.
-		gone := w.entry.Draining || now.After(w.keeper.LeaseOver())
+		// has left. Another one may be cut off and run on until its lease is over,
+		// which an earlier holder of the term may still extend while the worker is
+		// not accounted for.
+		gone := w.entry.Draining || (!s.pending[w.life] && now.After(w.keeper.LeaseOver()))
 		if w.over || (now.Sub(w.unlisted) > unlistedGrace && w.failing > 0 && gone) {
 			s.endLife(w, "it is not listed any more")
 			delete(s.workers, id)
--- a/proofs/crankentryproof/relay_test.go
+++ b/proofs/crankentryproof/relay_test.go
@@ -1,10 +1,13 @@
 package crankentryproof
 
 import (
+	"slices"
 	"testing"
 	"time"
 
+	crank "cranberrycrank"
 	"cranberrycrank/internal/crankbook"
+	"cranberrycrank/standin/crankfakefleet"
 
 	"github.com/matryer/is"
 )
@@ -64,3 +67,39 @@
 		c.await("b", "urgent", "job2", crankbook.PhaseCompleted, 2*time.Second)
 	})
 }
+
+// A planner that is cut off together with workers goes on there. Its successor
+// must not take them for gone when their entries lapse.
+func TestWorkersCutOffWithThePlannerAreNotGone(t *testing.T) {
+	play(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.open(4)
+		leader, other := c.leader(), "a"
+		if leader == other {
+			other = "b"
+		}
+		is.NoErr(c.submit(other, "patient", "job1", single(32, 6*time.Second)))
+		time.Sleep(time.Second)
+		workers, cut := []string{"w00", "w01"}, c.entries[leader].caller
+		c.cutOff(leader)
+		c.set(func() {
+			for _, w := range workers {
+				c.silent[w] = true
+			}
+			c.late = func(caller, worker, _ string) crankfakefleet.Fault {
+				return crankfakefleet.Fault{Cut: slices.Contains(workers, worker) != (caller == cut)}
+			}
+		})
+		time.Sleep(3 * heartbeat)
+		for _, w := range workers {
+			c.store.Put(crank.WorkerTopic, w, nil)
+		}
+		time.Sleep(5 * time.Second) // the entries are gone for long, leases of the first planner may not be over
+		c.reconnect()
+		c.set(func() {
+			clear(c.silent)
+			c.late = nil
+		})
+		c.await(other, "patient", "job1", crankbook.PhaseCompleted, 20*time.Second)
+	})
+}
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -38,8 +38,9 @@
 	mu         sync.Mutex
 	workers    map[string]*worker
 	running    map[crank.TaskID]map[*run]bool
-	done       map[crank.TaskID]bool // its end was acknowledged
-	good       map[crank.TaskID]bool // a run of it was done, acknowledged or not
+	done       map[crank.TaskID]bool  // its end was acknowledged
+	good       map[crank.TaskID]bool  // a run of it was done, acknowledged or not
+	again      map[crank.TaskID]int64 // newest run that was started after a good one
 	failures   map[crank.TaskID]int
 	runs       map[string]int // started, by job
 	violations []string
@@ -77,7 +78,7 @@
 func New(c Config) *Fleet {
 	return &Fleet{
 		Config: c, workers: make(map[string]*worker), running: make(map[crank.TaskID]map[*run]bool),
-		done: make(map[crank.TaskID]bool), good: make(map[crank.TaskID]bool), runs: make(map[string]int), failures: make(map[crank.TaskID]int),
+		done: make(map[crank.TaskID]bool), good: make(map[crank.TaskID]bool), again: make(map[crank.TaskID]int64), runs: make(map[string]int), failures: make(map[crank.TaskID]int),
 	}
 }
 
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -83,6 +83,9 @@
 	if f.done[id] {
 		f.violate("task %s starts again after its end was acknowledged", id)
 	}
+	if f.good[id] {
+		f.again[id] = r.number
+	}
 	if o.Payload != spec.Payload {
 		f.violate("task %s starts with another payload", id)
 	}
@@ -220,6 +223,9 @@
 		case w.lapsed[e.Number]: // the lease lapsed before: it proves nothing
 		case e.How == crank.EndDone:
 			w.fleet.done[e.Task] = true
+			if again := w.fleet.again[e.Task]; e.Run < again {
+				w.fleet.violate("task %s was started again, as run %d, after the end of run %d that is acknowledged now", e.Task, again, e.Run)
+			}
 		case e.How == crank.EndFailed:
 			w.fleet.failures[e.Task]++
 		}
