--- a/cmd/internal/crankcli/entry.go
+++ b/cmd/internal/crankcli/entry.go
@@ -112,6 +112,7 @@
 		Zone:            p.settings.Zone,
 		PeerAddr:        p.settings.PeerListen,
 		Peers:           crankpeer.NewStoreDialer(),
+		Leaders:         crankpeer.NewLeaderDialer(),
 		Store:           crankadapter.NewStore(client, p.settings.StoreAddr),
 		Workers:         crankadapter.NewWorkerDialer(client),
 		DecodeWorker:    crankadapter.DecodeWorker,
--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -36,6 +36,7 @@
 	Zone            string
 	PeerAddr        string // for other instances, IP:port
 	Peers           crank.StorePeerDialer
+	Leaders         crank.LeaderDialer
 	Store           crank.Store
 	Workers         crank.LeaseDialer
 	DecodeWorker    crankfleet.Decoder
@@ -72,7 +73,7 @@
 	peerKey   string // required from other instances
 	elector   *cranklead.Elector
 	followers []*crankfeed.Follower
-	leading   atomic.Bool
+	scheduler atomic.Pointer[cranksched.Scheduler] // while this instance holds the term
 	draining  atomic.Bool
 }
 
@@ -87,22 +88,23 @@
 	e.Config = c
 	operator := crankoperator.New(c.DecodeOperator, c.Logger)
 	e.writer = crankfeed.NewWriter(crankfeed.WriterConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Producer: c.Instance + "/" + rand.Text(), Epoch: 1})
-	e.Requests = crankgate.New(crankgate.Config{Operator: operator, Jobs: e.jobs, Writer: e.writer, Logger: c.Logger, Scope: c.Scope})
+	e.Requests = crankgate.New(crankgate.Config{Operator: operator, Jobs: e.jobs, Writer: e.writer, Leader: &leaderRoute{e: e}, Logger: c.Logger, Scope: c.Scope})
 	e.followers = []*crankfeed.Follower{
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.OperatorTopic, Logger: c.Logger, Wait: crankfeed.Constant(operatorReadWait), Sink: operator}),
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Wait: e.jobReadWait, MinInterval: e.jobReadInterval, Wake: e.jobs.WaitStarted(), Sink: e.jobs}),
 	}
 	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, ProcessorShare: c.ProcessorShare, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.HeldTerm) {
-		e.leading.Store(true)
+		scheduler := cranksched.New(cranksched.Config{
+			Term: h.Number, Leadership: h, Store: c.Store, Jobs: e.jobs, Operator: operator, Decode: c.DecodeWorker, Workers: c.Workers,
+			Bounds: c.Bounds, Overlap: h.Overlap, Retention: c.ResultRetention + retentionMargin, Logger: c.Logger, Scope: c.Scope,
+		})
+		e.scheduler.Store(scheduler)
 		c.Scope.Gauge("term_held").Update(float64(h.Number))
 		defer func() {
-			e.leading.Store(false)
+			e.scheduler.Store(nil)
 			c.Scope.Gauge("term_held").Update(0)
 		}()
-		cranksched.New(cranksched.Config{
-			Term: h.Number, Leadership: h, Store: c.Store, Jobs: e.jobs, Operator: operator, Decode: c.DecodeWorker, Workers: c.Workers,
-			Bounds: c.Bounds, Overlap: h.Overlap, Retention: c.ResultRetention + retentionMargin, Logger: c.Logger, Scope: c.Scope,
-		}).Run(ctx)
+		scheduler.Run(ctx)
 	}})
 	return e
 }
@@ -115,7 +117,7 @@
 }
 
 func (e *Entry) jobReadInterval() time.Duration {
-	if e.leading.Load() || e.jobs.HasWaiters() {
+	if e.scheduler.Load() != nil || e.jobs.HasWaiters() {
 		return busyReadInterval
 	}
 	return idleReadInterval
--- a/internal/crankentry/peer.go
+++ b/internal/crankentry/peer.go
@@ -20,9 +20,15 @@
 // PeerStore returns the store for calls from other instances.
 func (e *Entry) PeerStore() crank.Store { return e.relay.Direct() }
 
-// PeerHandler returns the HTTP handler that serves PeerStore.
+// PeerLeader serves other instances' calls while this one holds the term.
+func (e *Entry) PeerLeader() crank.Leader { return localLeader{e} }
+
+// PeerHandler returns the HTTP handler that serves PeerStore and PeerLeader.
 func (e *Entry) PeerHandler() http.Handler {
-	return crankpeer.NewStoreHandler(e.PeerStore(), e.peerKey)
+	mux := http.NewServeMux()
+	mux.Handle("/", crankpeer.NewStoreHandler(e.PeerStore(), e.peerKey))
+	mux.Handle(crankpeer.LeaderPathPrefix, crankpeer.NewLeaderHandler(e.PeerLeader(), e.peerKey))
+	return mux
 }
 
 // announce publishes periodically how to reach this instance.
--- a/internal/crankfeed/writer.go
+++ b/internal/crankfeed/writer.go
@@ -1,6 +1,7 @@
 package crankfeed
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"log/slog"
@@ -16,6 +17,9 @@
 	Logger   *slog.Logger
 	Producer string // unique among the writers of an epoch
 	Epoch    int64
+	// MaxQueueTime is how long a request may wait for the batch before it; 0 means
+	// defaultQueueTime.
+	MaxQueueTime time.Duration
 }
 
 // Writer appends records in batches, one batch at a time. A batch without an
@@ -36,12 +40,13 @@
 }
 
 type appendResult struct {
-	end crank.Offset
-	err error
+	stored crank.OffsetRange
+	err    error
 }
 
 // NewWriter returns a writer. It works while Run runs.
 func NewWriter(c WriterConfig) *Writer {
+	c.MaxQueueTime = cmp.Or(c.MaxQueueTime, defaultQueueTime)
 	return &Writer{WriterConfig: c, requests: make(chan *request)}
 }
 
@@ -51,30 +56,31 @@
 	maxBatchBytes     = 1 << 20                // values of one append; the store takes 2 MiB
 	refusedRetryDelay = 30 * time.Millisecond  // before the only retry of a refused append
 	unknownRetryDelay = 100 * time.Millisecond // before the next retry of an append without an answer
-	maxQueueTime      = 150 * time.Millisecond // a request that is not in a batch by then is refused
+	defaultQueueTime  = 150 * time.Millisecond // a request that is not in a batch by then is refused
 	raiseEpochTimeout = 3 * time.Second        // of all attempts to raise the epoch
 )
 
-// Append adds records and returns the offset after the batch. An error of
+// Append adds records and returns the offsets of the batch that holds them, in which
+// all records are this writer's. An error of
 // KindUnavailable means that they were not added and never will be, one of
 // KindUnknown that they may have been.
-func (w *Writer) Append(ctx context.Context, records ...crank.KeyedRecord) (crank.Offset, error) {
+func (w *Writer) Append(ctx context.Context, records ...crank.KeyedRecord) (crank.OffsetRange, error) {
 	const op = "store append"
 	r := &request{ctx: ctx, records: records, result: make(chan appendResult, 1)}
-	timer := time.NewTimer(maxQueueTime)
+	timer := time.NewTimer(w.MaxQueueTime)
 	defer timer.Stop()
 	select {
 	case w.requests <- r:
 	case <-timer.C:
-		return 0, crank.Fail(op, crank.KindUnavailable, "the store has not answered the append before")
+		return crank.OffsetRange{}, crank.Fail(op, crank.KindUnavailable, "the store has not answered the append before")
 	case <-ctx.Done():
-		return 0, crank.Wrap(op, crank.KindUnavailable, ctx.Err())
+		return crank.OffsetRange{}, crank.Wrap(op, crank.KindUnavailable, ctx.Err())
 	}
 	select {
 	case result := <-r.result:
-		return result.end, result.err
+		return result.stored, result.err
 	case <-ctx.Done():
-		return 0, crank.Wrap(op, crank.KindUnknown, ctx.Err())
+		return crank.OffsetRange{}, crank.Wrap(op, crank.KindUnknown, ctx.Err())
 	}
 }
 
@@ -146,7 +152,7 @@
 		w.logTransition(err)
 		switch {
 		case err == nil:
-			replyAll(batch, appendResult{end: end})
+			replyAll(batch, appendResult{stored: crank.OffsetRange{First: end - crank.Offset(len(records)), End: end}})
 			return
 		case crank.KindOf(err) == crank.KindFenced, ctx.Err() != nil:
 			replyAll(batch, appendResult{err: uncertainError(err, uncertain)})
--- a/internal/crankgate/gate.go
+++ b/internal/crankgate/gate.go
@@ -25,12 +25,14 @@
 const (
 	// MaxConfigAge is the maximum age of the configuration for answering a
 	// request: below the two seconds within which a version must take effect.
-	MaxConfigAge    = 1700 * time.Millisecond
-	maxStateAge     = 2500 * time.Millisecond // maximum age of the job state for readiness and for counts of waiting jobs
-	refreshTimeout  = 900 * time.Millisecond  // longest wait for a newer state before a job counts as unknown
-	maxEndWait      = 200 * time.Millisecond  // longest wait for the end of a job whose state is requested; several times what storing an end takes
-	responseMargin  = 100 * time.Millisecond  // part of a caller's deadline reserved for sending the response
-	defaultDeadline = 10 * time.Second        // of a request without one
+	MaxConfigAge     = 1700 * time.Millisecond
+	maxStateAge      = 2500 * time.Millisecond // maximum age of the job state for readiness and for counts of waiting jobs
+	refreshTimeout   = 900 * time.Millisecond  // longest wait for a newer state before a job counts as unknown
+	maxEndWait       = 200 * time.Millisecond  // longest wait for the end of a job whose state is requested; several times what storing an end takes
+	responseMargin   = 100 * time.Millisecond  // part of a caller's deadline reserved for sending the response
+	leaderTimeout    = 800 * time.Millisecond  // of a submission through the leader
+	leaderAnswerTime = 100 * time.Millisecond  // of a call that waits at the leader, beyond its wait
+	defaultDeadline  = 10 * time.Second        // of a request without one
 )
 
 // Config holds the dependencies of a RequestHandler.
@@ -38,6 +40,7 @@
 	Operator *crankoperator.OperatorReplica
 	Jobs     *crankjobs.JobReplica
 	Writer   *crankfeed.Writer
+	Leader   crank.Leader
 	Logger   *slog.Logger
 	Scope    tally.Scope
 }
@@ -146,7 +149,25 @@
 	if err != nil {
 		return err
 	}
-	return h.append(ctx, r, record)
+	return h.storeSubmission(ctx, r, job, record)
+}
+
+// storeSubmission stores a job through the leader, which then starts it without
+// reading it first, or else directly. The job topic keeps the first record of a job,
+// so storing it on both ways does no harm.
+func (h *RequestHandler) storeSubmission(ctx context.Context, r RoutedRequest, job crank.StepJob, record crank.KeyedRecord) error {
+	callCtx, cancel := context.WithTimeout(ctx, min(leaderTimeout, time.Until(r.Deadline)))
+	defer cancel()
+	leaderErr := h.Leader.Submit(callCtx, job)
+	if leaderErr == nil || crank.KindOf(leaderErr) == crank.KindInvalid {
+		return leaderErr
+	}
+	h.Logger.Info("gate: leader did not store a submission", "job", job.ID, "error", leaderErr)
+	err := h.append(ctx, r, record)
+	if crank.KindOf(leaderErr) == crank.KindUnknown && crank.KindOf(err) == crank.KindUnavailable {
+		return &crank.Error{Op: "submit", Kind: crank.KindUnknown, Cause: err}
+	}
+	return err
 }
 
 func (h *RequestHandler) append(ctx context.Context, r RoutedRequest, record crank.KeyedRecord) error {
@@ -169,27 +190,40 @@
 // Phase returns the state of a job. It waits up to maxEndWait for the end, since
 // callers often ask just before the end is stored. An error of KindExpired means
 // that the job does not exist.
-func (h *RequestHandler) Phase(ctx context.Context, r RoutedRequest) (crankjobs.Phase, error) {
+func (h *RequestHandler) Phase(ctx context.Context, r RoutedRequest) (crank.Phase, error) {
 	j, err := h.findJob(ctx, r)
 	if err != nil {
 		h.Logger.Info("gate: state request failed", "job", r.Job, "result", resultOf(err), "book-age", time.Since(h.Jobs.View().AsOf).Round(time.Millisecond), "error", err)
 		return "", err
 	}
-	return h.awaitEnd(ctx, j).Phase(), nil
+	return h.awaitEnd(ctx, j), nil
 }
 
-// awaitEnd returns the newest state of a job at its end or after maxEndWait.
-func (h *RequestHandler) awaitEnd(ctx context.Context, j crankjobs.RecordedJob) crankjobs.RecordedJob {
-	callCtx, cancel := context.WithTimeout(ctx, maxEndWait)
+// awaitEnd returns the phase of a job at its end or after maxEndWait, as the leader
+// knows it or, if that can't be asked, as this instance reads it.
+func (h *RequestHandler) awaitEnd(ctx context.Context, j crankjobs.RecordedJob) crank.Phase {
+	if j.Ended() {
+		return j.Phase()
+	}
+	callCtx, cancel := context.WithTimeout(ctx, maxEndWait+leaderAnswerTime)
 	defer cancel()
-	view, _ := h.Jobs.Wait(callCtx, func(v crankjobs.View) bool {
+	phase, err := h.Leader.AwaitEnd(callCtx, j.Job.ID, maxEndWait)
+	if phase.Final() {
+		return phase
+	}
+	ended := func(v crankjobs.View) bool {
 		newest, ok := v.State.Job(j.Job.ID)
 		return !ok || newest.Ended()
-	})
+	}
+	view := h.Jobs.View()
+	if err != nil && callCtx.Err() == nil {
+		// The newest view is the answer whether or not the job ended meanwhile.
+		view, _ = h.Jobs.Wait(callCtx, ended)
+	}
 	if newest, ok := view.State.Job(j.Job.ID); ok {
-		return newest
+		return newest.Phase()
 	}
-	return j
+	return j.Phase()
 }
 
 // findJob returns the recorded state of a job. A job counts as unknown only in a
--- a/internal/crankjobs/instance.go
+++ b/internal/crankjobs/instance.go
@@ -49,6 +49,12 @@
 	return s, nil
 }
 
+// Instance returns the announcement of an instance if it has not expired.
+func (s State) Instance(id string, now time.Time) (Announcement, bool) {
+	a, ok := s.instances.Get(id)
+	return a.Announcement, ok && now.Sub(a.seen) <= announcementTTL
+}
+
 // Instances returns the announcements that have not expired, and the IDs of
 // those that have.
 func (s State) Instances(now time.Time) (live []Announcement, expired []string) {
--- a/internal/crankjobs/state.go
+++ b/internal/crankjobs/state.go
@@ -9,18 +9,6 @@
 	"github.com/benbjohnson/immutable"
 )
 
-// Phase is the state of a job as reported to callers.
-type Phase string
-
-// Phases of jobs.
-const (
-	PhaseQueued    Phase = "queued"
-	PhaseRunning   Phase = "running"
-	PhaseCompleted Phase = "completed"
-	PhaseFailed    Phase = "failed"
-	PhaseCancelled Phase = "cancelled"
-)
-
 // noOffset stands for a record that was not read.
 const noOffset crank.Offset = -1
 
@@ -47,20 +35,20 @@
 func (j RecordedJob) Ended() bool { return j.Progress.Outcome != OutcomeNone || j.Cancelled() }
 
 // Phase returns the state reported to callers.
-func (j RecordedJob) Phase() Phase {
+func (j RecordedJob) Phase() crank.Phase {
 	switch {
 	case j.Cancelled():
-		return PhaseCancelled
+		return crank.PhaseCancelled
 	case j.Progress.Outcome == OutcomeCompleted:
-		return PhaseCompleted
+		return crank.PhaseCompleted
 	case j.Progress.Outcome == OutcomeFailed:
-		return PhaseFailed
+		return crank.PhaseFailed
 	case j.Progress.Outcome == OutcomeCancelled:
-		return PhaseCancelled
+		return crank.PhaseCancelled
 	case j.Progress.Begun:
-		return PhaseRunning
+		return crank.PhaseRunning
 	}
-	return PhaseQueued
+	return crank.PhaseQueued
 }
 
 // State is an immutable snapshot of the job topic.
--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -244,6 +244,12 @@
 	return Term{Number: e.term.Number + 1, Holder: e.Incarnation}, e.topicEnd, over && fresh
 }
 
+// InstanceOf returns the instance of a holder's incarnation.
+func InstanceOf(holder string) string {
+	instance, _, _ := strings.Cut(holder, incarnationSeparator)
+	return instance
+}
+
 // isPriorIncarnation reports whether a holder was an earlier incarnation of this
 // instance, which has ended since this one runs.
 func (e *Elector) isPriorIncarnation(holder string) bool {
--- a/internal/crankpeer/crankpeerpb/peer.twirp.go
+++ b/internal/crankpeer/crankpeerpb/peer.twirp.go
@@ -2136,6 +2136,783 @@
 	return baseServicePath(s.pathPrefix, "crankpeer", "StoreRelay")
 }
 
+// ================
+// Leader Interface
+// ================
+
+// Leader is what the holder of the planner's term does for other instances. Any
+// other instance refuses these calls as unavailable.
+type Leader interface {
+	// Submit stores a job together with the planner's claim on it.
+	Submit(context.Context, *SubmitRequest) (*LeaderReply, error)
+
+	// AwaitEnd waits until the end of a job is stored.
+	AwaitEnd(context.Context, *AwaitEndRequest) (*LeaderReply, error)
+}
+
+// ======================
+// Leader Protobuf Client
+// ======================
+
+type leaderProtobufClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewLeaderProtobufClient creates a Protobuf client that implements the Leader interface.
+// It communicates using Protobuf and can be configured with a custom HTTPClient.
+func NewLeaderProtobufClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Leader {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "crankpeer", "Leader")
+	urls := [2]string{
+		serviceURL + "Submit",
+		serviceURL + "AwaitEnd",
+	}
+
+	return &leaderProtobufClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *leaderProtobufClient) Submit(ctx context.Context, in *SubmitRequest) (*LeaderReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "Leader")
+	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	caller := c.callSubmit
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubmitRequest) (*LeaderReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return c.callSubmit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaderReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaderReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *leaderProtobufClient) callSubmit(ctx context.Context, in *SubmitRequest) (*LeaderReply, error) {
+	out := new(LeaderReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *leaderProtobufClient) AwaitEnd(ctx context.Context, in *AwaitEndRequest) (*LeaderReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "Leader")
+	ctx = ctxsetters.WithMethodName(ctx, "AwaitEnd")
+	caller := c.callAwaitEnd
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AwaitEndRequest) (*LeaderReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AwaitEndRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AwaitEndRequest) when calling interceptor")
+					}
+					return c.callAwaitEnd(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaderReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaderReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *leaderProtobufClient) callAwaitEnd(ctx context.Context, in *AwaitEndRequest) (*LeaderReply, error) {
+	out := new(LeaderReply)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ==================
+// Leader JSON Client
+// ==================
+
+type leaderJSONClient struct {
+	client      HTTPClient
+	urls        [2]string
+	interceptor twirp.Interceptor
+	opts        twirp.ClientOptions
+}
+
+// NewLeaderJSONClient creates a JSON client that implements the Leader interface.
+// It communicates using JSON and can be configured with a custom HTTPClient.
+func NewLeaderJSONClient(baseURL string, client HTTPClient, opts ...twirp.ClientOption) Leader {
+	if c, ok := client.(*http.Client); ok {
+		client = withoutRedirects(c)
+	}
+
+	clientOpts := twirp.ClientOptions{}
+	for _, o := range opts {
+		o(&clientOpts)
+	}
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	literalURLs := false
+	_ = clientOpts.ReadOpt("literalURLs", &literalURLs)
+	var pathPrefix string
+	if ok := clientOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
+	serviceURL := sanitizeBaseURL(baseURL)
+	serviceURL += baseServicePath(pathPrefix, "crankpeer", "Leader")
+	urls := [2]string{
+		serviceURL + "Submit",
+		serviceURL + "AwaitEnd",
+	}
+
+	return &leaderJSONClient{
+		client:      client,
+		urls:        urls,
+		interceptor: twirp.ChainInterceptors(clientOpts.Interceptors...),
+		opts:        clientOpts,
+	}
+}
+
+func (c *leaderJSONClient) Submit(ctx context.Context, in *SubmitRequest) (*LeaderReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "Leader")
+	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	caller := c.callSubmit
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubmitRequest) (*LeaderReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return c.callSubmit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaderReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaderReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *leaderJSONClient) callSubmit(ctx context.Context, in *SubmitRequest) (*LeaderReply, error) {
+	out := new(LeaderReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[0], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *leaderJSONClient) AwaitEnd(ctx context.Context, in *AwaitEndRequest) (*LeaderReply, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "Leader")
+	ctx = ctxsetters.WithMethodName(ctx, "AwaitEnd")
+	caller := c.callAwaitEnd
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *AwaitEndRequest) (*LeaderReply, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AwaitEndRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AwaitEndRequest) when calling interceptor")
+					}
+					return c.callAwaitEnd(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaderReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaderReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *leaderJSONClient) callAwaitEnd(ctx context.Context, in *AwaitEndRequest) (*LeaderReply, error) {
+	out := new(LeaderReply)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[1], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// =====================
+// Leader Server Handler
+// =====================
+
+type leaderServer struct {
+	Leader
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewLeaderServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewLeaderServer(svc Leader, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &leaderServer{
+		Leader:           svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *leaderServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *leaderServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// LeaderPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const LeaderPathPrefix = "/twirp/crankpeer.Leader/"
+
+func (s *leaderServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "crankpeer")
+	ctx = ctxsetters.WithServiceName(ctx, "Leader")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	// Verify path format: [<prefix>]/<package>.<Service>/<Method>
+	prefix, pkgService, method := parseTwirpPath(req.URL.Path)
+	if pkgService != "crankpeer.Leader" {
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+	if prefix != s.pathPrefix {
+		msg := fmt.Sprintf("invalid path prefix %q, expected %q, on path %q", prefix, s.pathPrefix, req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+
+	switch method {
+	case "Submit":
+		s.serveSubmit(ctx, resp, req)
+		return
+	case "AwaitEnd":
+		s.serveAwaitEnd(ctx, resp, req)
+		return
+	default:
+		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
+		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
+		return
+	}
+}
+
+func (s *leaderServer) serveSubmit(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSubmitJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSubmitProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *leaderServer) serveSubmitJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SubmitRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Leader.Submit
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitRequest) (*LeaderReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return s.Leader.Submit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaderReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaderReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LeaderReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeaderReply and nil error while calling Submit. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *leaderServer) serveSubmitProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Submit")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SubmitRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Leader.Submit
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SubmitRequest) (*LeaderReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubmitRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubmitRequest) when calling interceptor")
+					}
+					return s.Leader.Submit(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaderReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaderReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LeaderReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeaderReply and nil error while calling Submit. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *leaderServer) serveAwaitEnd(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveAwaitEndJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveAwaitEndProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *leaderServer) serveAwaitEndJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AwaitEnd")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(AwaitEndRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Leader.AwaitEnd
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AwaitEndRequest) (*LeaderReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AwaitEndRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AwaitEndRequest) when calling interceptor")
+					}
+					return s.Leader.AwaitEnd(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaderReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaderReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LeaderReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeaderReply and nil error while calling AwaitEnd. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *leaderServer) serveAwaitEndProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "AwaitEnd")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(AwaitEndRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Leader.AwaitEnd
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *AwaitEndRequest) (*LeaderReply, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*AwaitEndRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*AwaitEndRequest) when calling interceptor")
+					}
+					return s.Leader.AwaitEnd(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*LeaderReply)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*LeaderReply) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *LeaderReply
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *LeaderReply and nil error while calling AwaitEnd. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *leaderServer) ServiceDescriptor() ([]byte, int) {
+	return twirpFileDescriptor0, 2
+}
+
+func (s *leaderServer) ProtocGenTwirpVersion() string {
+	return "v8.1.3"
+}
+
+// PathPrefix returns the base service path, in the form: "/<prefix>/<package>.<Service>/"
+// that is everything in a Twirp route except for the <Method>. This can be used for routing,
+// for example to identify the requests that are targeted to this service in a mux.
+func (s *leaderServer) PathPrefix() string {
+	return baseServicePath(s.pathPrefix, "crankpeer", "Leader")
+}
+
 // =====
 // Utils
 // =====
@@ -2702,50 +3479,57 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 711 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xdd, 0x6e, 0xd3, 0x30,
-	0x14, 0x56, 0x9a, 0xfe, 0xac, 0x67, 0x6b, 0x29, 0xd6, 0xd8, 0xb2, 0xa2, 0x49, 0x55, 0x10, 0x52,
-	0x35, 0xc4, 0x86, 0xb6, 0xbb, 0x49, 0x4c, 0x02, 0xc4, 0x15, 0x0c, 0x21, 0x4f, 0x70, 0xc1, 0x4d,
-	0xe5, 0x25, 0xa7, 0xc5, 0x6a, 0xeb, 0x04, 0xdb, 0xdd, 0x56, 0x89, 0xe7, 0xe0, 0x61, 0x78, 0x00,
-	0xc4, 0x53, 0x21, 0x64, 0xc7, 0xc9, 0x92, 0xad, 0x83, 0xdd, 0xf9, 0x3b, 0xe7, 0xf8, 0x7c, 0x5f,
-	0x3e, 0x1f, 0x3b, 0x00, 0x29, 0xa2, 0xdc, 0x4f, 0x65, 0xa2, 0x13, 0xd2, 0x8e, 0x24, 0x13, 0x53,
-	0x13, 0x08, 0x1f, 0x40, 0xe7, 0x4c, 0x33, 0xbd, 0x50, 0x14, 0xbf, 0x2d, 0x50, 0xe9, 0xf0, 0x87,
-	0x07, 0xeb, 0x79, 0x24, 0x9d, 0x2d, 0x49, 0x1f, 0xd6, 0xb8, 0x50, 0x9a, 0x89, 0x08, 0x03, 0x6f,
-	0xe0, 0x0d, 0xdb, 0xb4, 0xc0, 0x84, 0x40, 0x5d, 0xe0, 0x95, 0x0e, 0x6a, 0x03, 0x6f, 0xe8, 0x53,
-	0xbb, 0x26, 0x4f, 0xa1, 0x1b, 0x25, 0x62, 0xcc, 0x27, 0xa3, 0x0b, 0x94, 0x8a, 0x27, 0x22, 0xf0,
-	0x6d, 0xb6, 0x93, 0x45, 0x3f, 0x67, 0x41, 0xb2, 0x09, 0x0d, 0x89, 0x2c, 0x5e, 0x06, 0xf5, 0x81,
-	0x37, 0x5c, 0xa3, 0x19, 0x30, 0x64, 0xb1, 0x64, 0x5c, 0x70, 0x31, 0x09, 0x1a, 0x36, 0x51, 0xe0,
-	0x70, 0x0a, 0x5d, 0x8a, 0x2c, 0x7e, 0x9f, 0x4c, 0x9c, 0x54, 0xb2, 0x05, 0x4d, 0xa5, 0x25, 0xb2,
-	0xb9, 0x13, 0xe6, 0x90, 0x91, 0x35, 0x96, 0xc9, 0x3c, 0x97, 0x65, 0xd6, 0x86, 0x6f, 0xc6, 0xe7,
-	0x5c, 0x5b, 0x35, 0x0d, 0x9a, 0x01, 0xb2, 0x0d, 0xad, 0x4b, 0xc6, 0xf5, 0x68, 0xae, 0xac, 0x0e,
-	0x9f, 0x36, 0x0d, 0x3c, 0x55, 0xe1, 0x11, 0x34, 0xde, 0x0a, 0x2d, 0x97, 0x86, 0x23, 0x19, 0x8f,
-	0x15, 0x6a, 0xcb, 0xe1, 0x53, 0x87, 0x0c, 0x47, 0xcc, 0x34, 0xb3, 0x1c, 0x1b, 0xd4, 0xae, 0xc3,
-	0xef, 0xb0, 0x51, 0x28, 0x34, 0xd6, 0xed, 0x41, 0x0b, 0x85, 0x96, 0x1c, 0x55, 0xe0, 0x0d, 0xfc,
-	0xe1, 0xfa, 0x61, 0x6f, 0xbf, 0x30, 0x7e, 0xdf, 0xb6, 0xa7, 0x79, 0x81, 0xd1, 0x37, 0xe6, 0x52,
-	0xe5, 0x5e, 0x66, 0x80, 0xf4, 0xc0, 0x47, 0x11, 0x3b, 0x07, 0xcd, 0x92, 0x04, 0xd0, 0xc2, 0xab,
-	0x94, 0x4b, 0x8c, 0x9d, 0x73, 0x39, 0x0c, 0x4f, 0xa0, 0xf7, 0x2a, 0x4d, 0x51, 0xdc, 0xd3, 0xa1,
-	0x5b, 0xea, 0x87, 0xd0, 0x2d, 0xed, 0x37, 0xfa, 0xef, 0xf8, 0xf6, 0xf0, 0xd4, 0x4c, 0x48, 0x22,
-	0x91, 0x62, 0x94, 0xc8, 0xd8, 0x88, 0x9c, 0xe2, 0xd2, 0x31, 0x98, 0xa5, 0xf9, 0x98, 0x0b, 0x36,
-	0x5b, 0xa0, 0xeb, 0x9f, 0x81, 0x52, 0x3b, 0xbf, 0xd2, 0xee, 0xa7, 0x07, 0xc4, 0xf6, 0xcb, 0xe8,
-	0x73, 0xed, 0x9b, 0xd0, 0xd0, 0x49, 0xca, 0x23, 0xd7, 0x38, 0x03, 0xe4, 0x05, 0xb4, 0xa4, 0xa5,
-	0x55, 0x41, 0xcd, 0x7a, 0xba, 0x55, 0xf2, 0xb4, 0xa4, 0x8a, 0xe6, 0x65, 0xa4, 0x0b, 0x35, 0x96,
-	0x53, 0xd6, 0x98, 0x36, 0x33, 0x96, 0xca, 0x24, 0x5e, 0x44, 0x28, 0xad, 0x85, 0x6d, 0x5a, 0x60,
-	0xc3, 0x89, 0x69, 0x12, 0x7d, 0xb5, 0xc3, 0xe7, 0xd3, 0x0c, 0x98, 0x1d, 0xca, 0x88, 0x32, 0x57,
-	0xa0, 0x69, 0x13, 0x05, 0x0e, 0x3f, 0x41, 0xcf, 0xb1, 0xb2, 0xff, 0x28, 0x5f, 0x35, 0x95, 0xa5,
-	0xf9, 0xf3, 0x2b, 0xf3, 0xb7, 0xe7, 0x2c, 0xf9, 0x80, 0x97, 0xa8, 0xf4, 0x3f, 0x1b, 0x87, 0x7f,
-	0x3c, 0x00, 0xa7, 0xc1, 0x9c, 0x5a, 0xc9, 0x21, 0xef, 0x7e, 0x0e, 0xdd, 0x77, 0xf6, 0x76, 0x01,
-	0x50, 0xca, 0x44, 0x8e, 0xa6, 0x5c, 0xc4, 0xce, 0xbb, 0xb6, 0x8d, 0xbc, 0xe3, 0x22, 0x26, 0x4f,
-	0xa0, 0x93, 0xa5, 0xe7, 0xa8, 0x14, 0x9b, 0xa0, 0x35, 0xb1, 0x4d, 0x37, 0x6c, 0xf0, 0x34, 0x8b,
-	0x99, 0xe7, 0xe1, 0x52, 0x26, 0x62, 0x32, 0xaa, 0x38, 0xba, 0x46, 0x3b, 0x36, 0x7a, 0xe6, 0x82,
-	0xe4, 0x19, 0x3c, 0xc4, 0xab, 0x14, 0x23, 0x8d, 0xf1, 0x75, 0x65, 0xcb, 0x4a, 0xe9, 0xe5, 0x89,
-	0xbc, 0xf8, 0xf0, 0x97, 0x07, 0xf5, 0x8f, 0x88, 0x92, 0x1c, 0x43, 0x33, 0x7b, 0xba, 0x48, 0x50,
-	0xf9, 0xe6, 0xd2, 0xfb, 0xd6, 0xdf, 0x5a, 0x91, 0x31, 0xb6, 0xbd, 0x84, 0x96, 0xbb, 0xbc, 0x64,
-	0xa7, 0x54, 0x52, 0x7d, 0x72, 0xfa, 0xdb, 0xab, 0x52, 0x66, 0xfb, 0x1b, 0x68, 0x17, 0xb7, 0x87,
-	0x3c, 0x2e, 0x55, 0xdd, 0xbc, 0x93, 0xfd, 0x9d, 0xd5, 0xc9, 0x74, 0xb6, 0x3c, 0xfc, 0x7d, 0x7d,
-	0x92, 0x33, 0xb6, 0x24, 0x27, 0xd0, 0xcc, 0x0a, 0xc8, 0xee, 0xcd, 0x23, 0xac, 0x5c, 0x95, 0xfe,
-	0xa3, 0xdb, 0x27, 0x6c, 0x34, 0x1d, 0x43, 0xdd, 0x68, 0xac, 0xc8, 0xb9, 0x39, 0xac, 0x77, 0xed,
-	0x3d, 0x81, 0x66, 0x36, 0x7b, 0xb7, 0xb9, 0x2b, 0x33, 0x79, 0xc7, 0xfe, 0xd7, 0x07, 0x5f, 0x9e,
-	0x9b, 0xf8, 0x39, 0x4a, 0xb9, 0xb4, 0x05, 0x07, 0x5c, 0x68, 0x94, 0x82, 0xcd, 0x0e, 0x8a, 0xfa,
-	0xeb, 0x55, 0x7a, 0x7e, 0xde, 0xb4, 0xbf, 0xa6, 0xa3, 0xbf, 0x01, 0x00, 0x00, 0xff, 0xff, 0x5d,
-	0x1e, 0x51, 0xed, 0xa8, 0x06, 0x00, 0x00,
+	// 817 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0x8c, 0x55, 0xdd, 0x8e, 0xe3, 0x34,
+	0x14, 0x56, 0x9a, 0x69, 0x3a, 0x3d, 0xd3, 0x76, 0x8b, 0x35, 0xcc, 0x66, 0x8b, 0x56, 0x2a, 0x41,
+	0x48, 0xd5, 0x22, 0x66, 0x50, 0xf7, 0x6e, 0x05, 0x95, 0x16, 0xb4, 0x57, 0xec, 0x20, 0xe4, 0x11,
+	0x5c, 0x70, 0x53, 0xb9, 0xc9, 0x69, 0xd7, 0xb4, 0x75, 0x82, 0xed, 0xee, 0x4c, 0x25, 0x2e, 0x79,
+	0x06, 0x1e, 0x86, 0x07, 0x40, 0x3c, 0x15, 0x42, 0xb6, 0x93, 0x34, 0xe9, 0x0f, 0x3b, 0x77, 0xfe,
+	0xce, 0x39, 0xf6, 0xf9, 0xfa, 0x9d, 0x2f, 0xa7, 0x00, 0x19, 0xa2, 0xbc, 0xce, 0x64, 0xaa, 0x53,
+	0xd2, 0x8e, 0x25, 0x13, 0x4b, 0x13, 0x88, 0x9e, 0x40, 0xf7, 0x4e, 0x33, 0xbd, 0x51, 0x14, 0x7f,
+	0xdb, 0xa0, 0xd2, 0xd1, 0x9f, 0x1e, 0x5c, 0x14, 0x91, 0x6c, 0xb5, 0x25, 0x03, 0x38, 0xe7, 0x42,
+	0x69, 0x26, 0x62, 0x0c, 0xbd, 0xa1, 0x37, 0x6a, 0xd3, 0x12, 0x13, 0x02, 0x67, 0x02, 0x1f, 0x74,
+	0xd8, 0x18, 0x7a, 0x23, 0x9f, 0xda, 0x33, 0xf9, 0x1c, 0x7a, 0x71, 0x2a, 0xe6, 0x7c, 0x31, 0x7d,
+	0x8f, 0x52, 0xf1, 0x54, 0x84, 0xbe, 0xcd, 0x76, 0x5d, 0xf4, 0x67, 0x17, 0x24, 0x97, 0xd0, 0x94,
+	0xc8, 0x92, 0x6d, 0x78, 0x36, 0xf4, 0x46, 0xe7, 0xd4, 0x01, 0xd3, 0x2c, 0x91, 0x8c, 0x0b, 0x2e,
+	0x16, 0x61, 0xd3, 0x26, 0x4a, 0x1c, 0x2d, 0xa1, 0x47, 0x91, 0x25, 0x6f, 0xd3, 0x45, 0x4e, 0x95,
+	0x5c, 0x41, 0xa0, 0xb4, 0x44, 0xb6, 0xce, 0x89, 0xe5, 0xc8, 0xd0, 0x9a, 0xcb, 0x74, 0x5d, 0xd0,
+	0x32, 0x67, 0xd3, 0x6f, 0xc5, 0xd7, 0x5c, 0x5b, 0x36, 0x4d, 0xea, 0x00, 0x79, 0x0a, 0xad, 0x7b,
+	0xc6, 0xf5, 0x74, 0xad, 0x2c, 0x0f, 0x9f, 0x06, 0x06, 0xde, 0xaa, 0xe8, 0x25, 0x34, 0xdf, 0x08,
+	0x2d, 0xb7, 0xa6, 0x47, 0x3a, 0x9f, 0x2b, 0xd4, 0xb6, 0x87, 0x4f, 0x73, 0x64, 0x7a, 0x24, 0x4c,
+	0x33, 0xdb, 0xa3, 0x43, 0xed, 0x39, 0xfa, 0x1d, 0x3a, 0x25, 0x43, 0x23, 0xdd, 0x0b, 0x68, 0xa1,
+	0xd0, 0x92, 0xa3, 0x0a, 0xbd, 0xa1, 0x3f, 0xba, 0x18, 0xf7, 0xaf, 0x4b, 0xe1, 0xaf, 0xed, 0xf3,
+	0xb4, 0x28, 0x30, 0xfc, 0xe6, 0x5c, 0xaa, 0x42, 0x4b, 0x07, 0x48, 0x1f, 0x7c, 0x14, 0x49, 0xae,
+	0xa0, 0x39, 0x92, 0x10, 0x5a, 0xf8, 0x90, 0x71, 0x89, 0x49, 0xae, 0x5c, 0x01, 0xa3, 0x09, 0xf4,
+	0x5f, 0x67, 0x19, 0x8a, 0x47, 0x2a, 0x74, 0xc0, 0x7e, 0x04, 0xbd, 0xca, 0x7d, 0xc3, 0xff, 0xc4,
+	0x6f, 0x8f, 0x6e, 0x8d, 0x43, 0x52, 0x89, 0x14, 0xe3, 0x54, 0x26, 0x86, 0xe4, 0x12, 0xb7, 0x79,
+	0x07, 0x73, 0x34, 0x3f, 0xe6, 0x3d, 0x5b, 0x6d, 0x30, 0x7f, 0xdf, 0x81, 0xca, 0x73, 0x7e, 0xed,
+	0xb9, 0xbf, 0x3c, 0x20, 0xf6, 0x3d, 0xd7, 0xbe, 0xe0, 0x7e, 0x09, 0x4d, 0x9d, 0x66, 0x3c, 0xce,
+	0x1f, 0x76, 0x80, 0x7c, 0x05, 0x2d, 0x69, 0xdb, 0xaa, 0xb0, 0x61, 0x35, 0xbd, 0xaa, 0x68, 0x5a,
+	0x61, 0x45, 0x8b, 0x32, 0xd2, 0x83, 0x06, 0x2b, 0x5a, 0x36, 0x98, 0x36, 0x1e, 0xcb, 0x64, 0x9a,
+	0x6c, 0x62, 0x94, 0x56, 0xc2, 0x36, 0x2d, 0xb1, 0xe9, 0x89, 0x59, 0x1a, 0xbf, 0xb3, 0xe6, 0xf3,
+	0xa9, 0x03, 0xe6, 0x86, 0x32, 0xa4, 0xcc, 0x27, 0x10, 0xd8, 0x44, 0x89, 0xa3, 0x9f, 0xa0, 0x9f,
+	0x77, 0x65, 0x1f, 0x60, 0x7e, 0xcc, 0x95, 0x15, 0xff, 0xf9, 0x35, 0xff, 0xbd, 0xc8, 0x25, 0xf9,
+	0x01, 0xef, 0x51, 0xe9, 0xff, 0x7d, 0x38, 0xfa, 0xd7, 0x03, 0xc8, 0x39, 0x98, 0xa9, 0x55, 0x14,
+	0xf2, 0x1e, 0xa7, 0xd0, 0x63, 0xbd, 0xf7, 0x1c, 0x00, 0xa5, 0x4c, 0xe5, 0x74, 0xc9, 0x45, 0x92,
+	0x6b, 0xd7, 0xb6, 0x91, 0xef, 0xb9, 0x48, 0xc8, 0x67, 0xd0, 0x75, 0xe9, 0x35, 0x2a, 0xc5, 0x16,
+	0x68, 0x45, 0x6c, 0xd3, 0x8e, 0x0d, 0xde, 0xba, 0x98, 0x59, 0x0f, 0xf7, 0x32, 0x15, 0x8b, 0x69,
+	0x4d, 0xd1, 0x73, 0xda, 0xb5, 0xd1, 0xbb, 0x3c, 0x48, 0xbe, 0x80, 0x8f, 0xf0, 0x21, 0xc3, 0x58,
+	0x63, 0xb2, 0xab, 0x6c, 0x59, 0x2a, 0xfd, 0x22, 0x51, 0x14, 0x47, 0x9f, 0x42, 0xf7, 0x6e, 0x33,
+	0x5b, 0xf3, 0x52, 0xa7, 0x3e, 0xf8, 0xbf, 0xa6, 0x33, 0xab, 0x52, 0x87, 0x9a, 0x63, 0xf4, 0x35,
+	0x3c, 0x79, 0x6d, 0xa4, 0x7d, 0xb3, 0xf3, 0x57, 0xa5, 0xa8, 0x6d, 0x8b, 0xaa, 0xd3, 0x68, 0xd4,
+	0xa6, 0xb1, 0x80, 0x8b, 0xb7, 0xc8, 0x12, 0x94, 0x4e, 0xe1, 0x4b, 0x68, 0x66, 0xef, 0x98, 0x2a,
+	0xf6, 0xa1, 0x03, 0x7b, 0xea, 0x34, 0x3e, 0xa8, 0x8e, 0x7f, 0xa8, 0xce, 0xf8, 0x6f, 0x0f, 0xce,
+	0x7e, 0x44, 0x94, 0xe4, 0x15, 0x04, 0x6e, 0x09, 0x93, 0xb0, 0x36, 0xbd, 0xca, 0xa6, 0x1e, 0x5c,
+	0x1d, 0xc9, 0x18, 0x7a, 0xdf, 0x40, 0x2b, 0x5f, 0x43, 0xe4, 0x59, 0xa5, 0xa4, 0xbe, 0x3c, 0x07,
+	0x4f, 0x8f, 0xa5, 0xcc, 0xf5, 0xef, 0xa0, 0x5d, 0xee, 0x01, 0xf2, 0x49, 0xa5, 0x6a, 0x7f, 0xbb,
+	0x0c, 0x9e, 0x1d, 0x4f, 0x66, 0xab, 0xed, 0xf8, 0x9f, 0x9d, 0x27, 0x57, 0x6c, 0x4b, 0x26, 0x10,
+	0xb8, 0x02, 0xf2, 0x7c, 0xdf, 0x8c, 0xb5, 0x8f, 0x7e, 0xf0, 0xf1, 0xa1, 0x57, 0x0d, 0xa7, 0x57,
+	0x70, 0x66, 0x38, 0xd6, 0xe8, 0xec, 0x7f, 0x76, 0xa7, 0xee, 0x4e, 0x20, 0x70, 0x5f, 0xd1, 0x61,
+	0xef, 0xda, 0xd7, 0x75, 0xe2, 0xfe, 0xf8, 0x0f, 0x0f, 0x02, 0x37, 0x7d, 0x3b, 0x15, 0x6b, 0xb4,
+	0xfa, 0x54, 0xaa, 0xde, 0xab, 0x4d, 0xa5, 0x6a, 0x9a, 0x09, 0x9c, 0x17, 0x0e, 0x24, 0x83, 0xaa,
+	0x70, 0x75, 0x5b, 0x9e, 0xba, 0xff, 0xed, 0xcd, 0x2f, 0x5f, 0x9a, 0xc4, 0x0c, 0xa5, 0xdc, 0xda,
+	0x8a, 0x1b, 0x2e, 0x34, 0x4a, 0xc1, 0x56, 0x37, 0xe5, 0x85, 0xdd, 0x29, 0x9b, 0xcd, 0x02, 0xfb,
+	0x5f, 0xff, 0xf2, 0xbf, 0x00, 0x00, 0x00, 0xff, 0xff, 0x14, 0x14, 0x35, 0x99, 0xf9, 0x07, 0x00,
+	0x00,
 }
--- /dev/null
+++ b/internal/cranksched/end.go
@@ -0,0 +1,97 @@
+package cranksched
+
+import (
+	"context"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankjobs"
+)
+
+// phaseOf maps the outcomes that the planner records to phases.
+var phaseOf = map[crankjobs.Outcome]crank.Phase{
+	crankjobs.OutcomeCompleted: crank.PhaseCompleted,
+	crankjobs.OutcomeFailed:    crank.PhaseFailed,
+	crankjobs.OutcomeCancelled: crank.PhaseCancelled,
+}
+
+// AwaitEnd implements crank.Leader.
+func (s *Scheduler) AwaitEnd(ctx context.Context, job string, wait time.Duration) (crank.Phase, error) {
+	ended := make(chan crank.Phase, 1)
+	if err := s.call(ctx, "leader await", func() { s.addEndWaiter(job, ended) }); err != nil {
+		return "", err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case phase := <-ended:
+		return phase, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-s.ctx.Done():
+	}
+	s.post(func() { s.removeEndWaiter(job, ended) })
+	return crank.PhaseRunning, nil
+}
+
+// addEndWaiter sends the phase of a job to the channel, which has a buffer, once its
+// end is stored.
+func (s *Scheduler) addEndWaiter(job string, ended chan crank.Phase) {
+	if phase, ok := s.endPhases[job]; ok {
+		ended <- phase
+		return
+	}
+	if e, ok := s.Jobs.View().State.Job(job); ok && e.Ended() {
+		ended <- e.Phase()
+		return
+	}
+	s.endWaiters[job] = append(s.endWaiters[job], ended)
+}
+
+func (s *Scheduler) removeEndWaiter(job string, ended chan crank.Phase) {
+	var rest []chan crank.Phase
+	for _, w := range s.endWaiters[job] {
+		if w != ended {
+			rest = append(rest, w)
+		}
+	}
+	if s.endWaiters[job] = rest; len(rest) == 0 {
+		delete(s.endWaiters, job)
+	}
+}
+
+// publishEnd tells the waiting callers that the end of a job is stored.
+func (s *Scheduler) publishEnd(job string, phase crank.Phase) {
+	s.endPhases[job] = phase
+	for _, w := range s.endWaiters[job] {
+		w <- phase
+	}
+	delete(s.endWaiters, job)
+}
+
+// publishStoredEnds publishes the ends of jobs in a stored batch, unless records
+// before the batch were not read yet: a cancellation among them would come first.
+// Then syncJobs publishes the ends once the topic is read that far.
+func (s *Scheduler) publishStoredEnds(jobs []*job, stored crank.OffsetRange) {
+	if !s.extendKnown(stored) {
+		return
+	}
+	state := s.Jobs.View().State
+	for _, j := range jobs {
+		e, read := state.Job(j.spec.ID)
+		if j.hasOutcome && !(read && e.Cancelled()) {
+			s.publishEnd(j.spec.ID, phaseOf[j.progress.Outcome])
+		}
+	}
+}
+
+// extendKnown adds an own batch to the records of the job topic that are known, and
+// reports whether all records before the batch are.
+func (s *Scheduler) extendKnown(stored crank.OffsetRange) bool {
+	s.knownEnd = max(s.knownEnd, s.Jobs.View().End)
+	if stored.First > s.knownEnd {
+		return false
+	}
+	s.knownEnd = max(s.knownEnd, stored.End)
+	return true
+}
--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -41,6 +41,9 @@
 // syncJobs applies new and cancelled jobs.
 func (s *Scheduler) syncJobs(state crankjobs.State, atTakeover bool) {
 	for _, e := range state.ChangedSince(s.revision) {
+		if e.Ended() {
+			s.publishEnd(e.Job.ID, e.Phase())
+		}
 		j, known := s.jobs[e.Job.ID]
 		switch {
 		case known && e.Cancelled() && !j.cancelled:
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -66,23 +66,24 @@
 
 // Intervals, timeouts and limits of the scheduler.
 const (
-	tick             = 50 * time.Millisecond   // interval of periodic checks
-	minRoundGap      = 10 * time.Millisecond   // between rounds, so that one round handles several events
-	roundSpacing     = 5                       // from start to start, in durations of a round: rounds take at most 1/5 of the time
-	startTimeout     = 600 * time.Millisecond  // of one try of a start order
-	startTries       = 2                       // if no answer comes
-	maxStartWindow   = 1600 * time.Millisecond // workers refuse later start orders; two tries fit
-	gangStartShare   = 0.6                     // longest start window, as a share of how long a gang member waits for the others
-	stopTimeout      = 600 * time.Millisecond  // of one try of a stop order
-	stopMargin       = 300 * time.Millisecond  // for the report of the end, before a stop order is repeated
-	gangEndGrace     = 2 * time.Second         // members of a gang that is done report their ends within one renewal
-	writeRetry       = 100 * time.Millisecond  // after a failed write
-	unlistedGrace    = 2500 * time.Millisecond // an entry that expired during a store outage is back by then
-	syncPeriod       = 200 * time.Millisecond  // between checks for workers that left the list
-	sweepPeriod      = 5 * time.Second         // between removals of old records
-	clockDriftFactor = 1.03                    // a worker's clock may be 2% slow
-	takeoverMargin   = 1 * time.Second         // added before orders of earlier terms count as expired
-	inboxSize        = 256
+	tick              = 50 * time.Millisecond   // interval of periodic checks
+	minRoundGap       = 10 * time.Millisecond   // between rounds, so that one round handles several events
+	roundSpacing      = 5                       // from start to start, in durations of a round: rounds take at most 1/5 of the time
+	startTimeout      = 600 * time.Millisecond  // of one try of a start order
+	startTries        = 2                       // if no answer comes
+	maxStartWindow    = 1600 * time.Millisecond // workers refuse later start orders; two tries fit
+	gangStartShare    = 0.6                     // longest start window, as a share of how long a gang member waits for the others
+	stopTimeout       = 600 * time.Millisecond  // of one try of a stop order
+	stopMargin        = 300 * time.Millisecond  // for the report of the end, before a stop order is repeated
+	gangEndGrace      = 2 * time.Second         // members of a gang that is done report their ends within one renewal
+	writeRetry        = 100 * time.Millisecond  // after a failed write
+	unlistedGrace     = 2500 * time.Millisecond // an entry that expired during a store outage is back by then
+	syncPeriod        = 200 * time.Millisecond  // between checks for workers that left the list
+	sweepPeriod       = 5 * time.Second         // between removals of old records
+	clockDriftFactor  = 1.03                    // a worker's clock may be 2% slow
+	takeoverMargin    = 1 * time.Second         // added before orders of earlier terms count as expired
+	maxWriteQueueTime = 1 * time.Second         // a write that is not in a batch by then is refused
+	inboxSize         = 256
 )
 
 // Scheduler is the planner during one term.
@@ -113,6 +114,11 @@
 	guaranteed        map[string]bool          // workspaces whose urgent work is within their guarantee
 	health            map[string]*workerHealth // by incarnation
 	dropped           map[string]bool          // ended in this term; the job state may not show it yet
+	submitting        map[string]*submission   // by job ID
+	endPhases         map[string]crank.Phase   // of jobs whose end is stored
+	endWaiters        map[string][]chan crank.Phase
+	knownEnd          crank.Offset  // all records of the job topic before it were read or are this planner's
+	tookOver          chan struct{} // closed once Submit and AwaitEnd may be called
 
 	nextGaugeUpdate time.Time
 	priorities      map[int]bool // seen on jobs, for resetting their gauges to 0
@@ -132,6 +138,10 @@
 		unaccounted: make(map[string]bool),
 		health:      make(map[string]*workerHealth),
 		dropped:     make(map[string]bool),
+		submitting:  make(map[string]*submission),
+		endPhases:   make(map[string]crank.Phase),
+		endWaiters:  make(map[string][]chan crank.Phase),
+		tookOver:    make(chan struct{}),
 
 		priorities: make(map[int]bool),
 	}
@@ -145,7 +155,7 @@
 func (s *Scheduler) Run(ctx context.Context) {
 	s.ctx = ctx
 	s.writer = crankfeed.NewWriter(crankfeed.WriterConfig{
-		Store: s.Store, Topic: crank.JobTopic, Logger: s.Logger, Producer: plannerProducer, Epoch: s.Term,
+		Store: s.Store, Topic: crank.JobTopic, Logger: s.Logger, Producer: plannerProducer, Epoch: s.Term, MaxQueueTime: maxWriteQueueTime,
 	})
 	if !s.takeOver(ctx) {
 		return
@@ -154,6 +164,7 @@
 		Store: s.Store, Topic: crank.WorkerTopic, Logger: s.Logger, MinInterval: crankfeed.Constant(crankfleet.ListPeriod), Sink: s.list,
 	})
 	go s.writer.Run(ctx)
+	close(s.tookOver)
 	go feed.Run(ctx)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
--- /dev/null
+++ b/internal/cranksched/submit.go
@@ -0,0 +1,129 @@
+package cranksched
+
+import (
+	"context"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankjobs"
+)
+
+// submission is a job that is being stored with its claim.
+type submission struct {
+	done chan struct{} // closed when err is set
+	err  error
+}
+
+// Submit implements crank.Leader. The job and its claim are one append, after which
+// its tasks start without another call to the store.
+func (s *Scheduler) Submit(ctx context.Context, spec crank.StepJob) error {
+	const op = "leader submit"
+	admitted := make(chan *submission, 1)
+	if err := s.call(ctx, op, func() { admitted <- s.admit(spec) }); err != nil {
+		return err
+	}
+	sub := <-admitted
+	select {
+	case <-sub.done:
+		return sub.err
+	case <-ctx.Done():
+		return crank.Wrap(op, crank.KindUnknown, ctx.Err())
+	}
+}
+
+// call runs f on the goroutine that owns the state. It fails with KindUnavailable,
+// without having run f, before the term is taken over and after its end.
+func (s *Scheduler) call(ctx context.Context, op string, f func()) error {
+	select {
+	case <-s.tookOver:
+	default:
+		return crank.Fail(op, crank.KindUnavailable, "the term is not taken over yet")
+	}
+	ran := make(chan struct{})
+	run := func() {
+		f()
+		close(ran)
+	}
+	select {
+	case s.inbox <- run:
+	case <-s.ctx.Done():
+		return crank.Wrap(op, crank.KindUnavailable, s.ctx.Err())
+	case <-ctx.Done():
+		return crank.Wrap(op, crank.KindUnavailable, ctx.Err())
+	}
+	select {
+	case <-ran:
+		return nil
+	case <-s.ctx.Done():
+		return crank.Wrap(op, crank.KindUnknown, s.ctx.Err())
+	case <-ctx.Done():
+		return crank.Wrap(op, crank.KindUnknown, ctx.Err())
+	}
+}
+
+// admit starts to store a job unless it is known or being stored already. The claim
+// replaces the job's progress record, so a job with progress must be known here: this
+// term writes all progress, and that of earlier terms was loaded at the takeover.
+func (s *Scheduler) admit(spec crank.StepJob) *submission {
+	if sub := s.submitting[spec.ID]; sub != nil {
+		return sub
+	}
+	sub := &submission{done: make(chan struct{})}
+	_, recorded := s.Jobs.View().State.Job(spec.ID)
+	if s.jobs[spec.ID] != nil || s.dropped[spec.ID] || recorded {
+		close(sub.done)
+		return sub
+	}
+	claim := crankjobs.Progress{Term: s.Term, Claimed: true}
+	records, err := submissionRecords(spec, claim)
+	if err != nil {
+		sub.err = err
+		close(sub.done)
+		return sub
+	}
+	s.submitting[spec.ID] = sub
+	begun := time.Now()
+	go func() {
+		stored, err := s.writer.Append(s.ctx, records...)
+		s.post(func() {
+			s.Scope.Timer("submission_write").Record(time.Since(begun))
+			s.handleSubmissionResult(spec, claim, sub, stored, err)
+		})
+	}()
+	return sub
+}
+
+func submissionRecords(spec crank.StepJob, claim crankjobs.Progress) ([]crank.KeyedRecord, error) {
+	submitted, err := crankjobs.SubmissionRecord(spec)
+	if err != nil {
+		return nil, err
+	}
+	claimed, err := crankjobs.ProgressRecord(spec.ID, claim)
+	return []crank.KeyedRecord{submitted, claimed}, err
+}
+
+// handleSubmissionResult adds a stored job. It may have been read, and even have
+// ended, before the answer to the append arrived.
+func (s *Scheduler) handleSubmissionResult(spec crank.StepJob, claim crankjobs.Progress, sub *submission, stored crank.OffsetRange, err error) {
+	delete(s.submitting, spec.ID)
+	defer close(sub.done)
+	if crank.KindOf(err) == crank.KindFenced {
+		s.Leadership.Resign("the store has seen a higher epoch")
+		err = crank.Fail("leader submit", crank.KindUnavailable, "another instance holds the term")
+	}
+	if err != nil {
+		sub.err = err
+		s.Logger.Warn("sched: submission not stored", "job", spec.ID, "error", err)
+		return
+	}
+	s.extendKnown(stored)
+	if j := s.jobs[spec.ID]; j != nil {
+		j.claimed = true
+		return
+	}
+	if e, ok := s.Jobs.View().State.Job(spec.ID); s.dropped[spec.ID] || (ok && e.Ended()) {
+		return
+	}
+	s.addJob(crankjobs.RecordedJob{Job: spec, Submitted: true, Progress: claim}, false)
+	s.changed = true
+}
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -47,11 +47,11 @@
 	s.writing = true
 	begun := time.Now()
 	go func() {
-		_, err := s.writer.Append(s.ctx, records...)
+		stored, err := s.writer.Append(s.ctx, records...)
 		s.post(func() {
 			s.writing = false
 			s.Scope.Timer("progress_write").Record(time.Since(begun))
-			s.handleWriteResult(jobs, incarnations, rosterChanged, acks, err)
+			s.handleWriteResult(jobs, incarnations, rosterChanged, acks, stored, err)
 		})
 	}()
 }
@@ -72,7 +72,7 @@
 }
 
 // handleWriteResult queues everything again after a failed append.
-func (s *Scheduler) handleWriteResult(jobs []*job, incarnations []string, rosterChanged bool, acks map[*worker]int64, err error) {
+func (s *Scheduler) handleWriteResult(jobs []*job, incarnations []string, rosterChanged bool, acks map[*worker]int64, stored crank.OffsetRange, err error) {
 	if err != nil {
 		if crank.KindOf(err) == crank.KindFenced {
 			s.Leadership.Resign("the store has seen a higher epoch")
@@ -88,6 +88,7 @@
 		s.retryAt = time.Now().Add(writeRetry)
 		return
 	}
+	s.publishStoredEnds(jobs, stored)
 	for _, j := range jobs {
 		j.claimed = true
 		if j.ending() && j.placed == 0 {
@@ -135,6 +136,7 @@
 	for _, id := range ids {
 		if s.jobs[id] == nil {
 			delete(s.dropped, id)
+			delete(s.endPhases, id)
 			records = append(records, crankjobs.JobRemovalRecords(id)...)
 		}
 	}
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -15,7 +15,6 @@
 	crank "cranberrycrank"
 	"cranberrycrank/internal/crankentry"
 	"cranberrycrank/internal/crankgate"
-	"cranberrycrank/internal/crankjobs"
 	"cranberrycrank/standin/crankfakefleet"
 	"cranberrycrank/standin/crankfakestore"
 
@@ -213,7 +212,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	inst := &instance{caller: caller, stop: stop, done: make(chan struct{})}
 	inst.Entry = crankentry.New(crankentry.Config{
-		Instance: name, Zone: name, PeerAddr: name, Peers: peerDialer{c, caller}, Store: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
+		Instance: name, Zone: name, PeerAddr: name, Peers: peerDialer{c, caller}, Leaders: peerDialer{c, caller}, Store: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
 		DecodeWorker: crankfakefleet.Decode, DecodeOperator: decodeOperator, Bounds: leaseBounds, ResultRetention: 2 * time.Minute,
 		Uptime: func() time.Duration { return time.Since(c.started) },
 		Logger: slog.New(slog.NewTextHandler(logOutput, nil)).With("instance", caller), Scope: tally.NoopScope,
@@ -249,11 +248,38 @@
 	name string
 }
 
-// connect returns the store of the other instance, or blocks until the context
-// ends if that instance can't be reached.
-func (p peerStore) connect(ctx context.Context) (crank.Store, error) {
+// Leader implements crank.LeaderDialer.
+func (p peerDialer) Leader(addr, _ string) crank.Leader { return peerLeader{p, addr} }
+
+// peerLeader is the leader service of the instance called name.
+type peerLeader struct {
+	peerDialer
+	name string
+}
+
+// Submit implements crank.Leader.
+func (p peerLeader) Submit(ctx context.Context, job crank.StepJob) error {
+	inst, err := p.connect(ctx, p.name)
+	if err != nil {
+		return err
+	}
+	return inst.PeerLeader().Submit(ctx, job)
+}
+
+// AwaitEnd implements crank.Leader.
+func (p peerLeader) AwaitEnd(ctx context.Context, job string, wait time.Duration) (crank.Phase, error) {
+	inst, err := p.connect(ctx, p.name)
+	if err != nil {
+		return "", err
+	}
+	return inst.PeerLeader().AwaitEnd(ctx, job, wait)
+}
+
+// connect returns the other instance, or blocks until the context ends if that
+// instance can't be reached.
+func (p peerDialer) connect(ctx context.Context, name string) (*instance, error) {
 	p.c.mu.Lock()
-	inst := p.c.running[p.name]
+	inst := p.c.running[name]
 	unreachable := inst == nil || p.c.dead[p.caller] || p.c.dead[inst.caller] || p.c.peersCut[p.caller] || p.c.peersCut[inst.caller]
 	p.c.mu.Unlock()
 	if unreachable {
@@ -261,34 +287,34 @@
 		return nil, crank.Wrap("peer call", crank.KindUnknown, ctx.Err())
 	}
 	time.Sleep(time.Millisecond)
-	return inst.PeerStore(), nil
+	return inst, nil
 }
 
 // Append implements crank.Store.
 func (p peerStore) Append(ctx context.Context, a crank.StoreAppend) (crank.Offset, error) {
-	store, err := p.connect(ctx)
+	inst, err := p.connect(ctx, p.name)
 	if err != nil {
 		return 0, err
 	}
-	return store.Append(ctx, a)
+	return inst.PeerStore().Append(ctx, a)
 }
 
 // Read implements crank.Store.
 func (p peerStore) Read(ctx context.Context, topic crank.Topic, from crank.Offset, wait time.Duration) (crank.KeyedBatch, error) {
-	store, err := p.connect(ctx)
+	inst, err := p.connect(ctx, p.name)
 	if err != nil {
 		return crank.KeyedBatch{}, err
 	}
-	return store.Read(ctx, topic, from, wait)
+	return inst.PeerStore().Read(ctx, topic, from, wait)
 }
 
 // Newest implements crank.Store.
 func (p peerStore) Newest(ctx context.Context, topic crank.Topic) (crank.KeyedBatch, error) {
-	store, err := p.connect(ctx)
+	inst, err := p.connect(ctx, p.name)
 	if err != nil {
 		return crank.KeyedBatch{}, err
 	}
-	return store.Newest(ctx, topic)
+	return inst.PeerStore().Newest(ctx, topic)
 }
 
 // cutFromStore cuts an instance off from the store but not from its peers.
@@ -397,7 +423,7 @@
 	return c.running[name].Requests.Cancel(c.t.Context(), r)
 }
 
-func (c *cluster) phase(name, queue, id string) (crankjobs.Phase, error) {
+func (c *cluster) phase(name, queue, id string) (crank.Phase, error) {
 	r, err := c.running[name].Requests.Route(crankgate.Request{Host: host, Path: "/" + queue + "/" + id, Key: c.key})
 	if err != nil {
 		return "", err
@@ -406,7 +432,7 @@
 }
 
 // awaitPhase polls an instance until a job is in the wanted phase.
-func (c *cluster) awaitPhase(name, queue, id string, want crankjobs.Phase, limit time.Duration) {
+func (c *cluster) awaitPhase(name, queue, id string, want crank.Phase, limit time.Duration) {
 	c.t.Helper()
 	deadline := time.Now().Add(limit)
 	for {
--- a/proofs/crankentryproof/jobs_test.go
+++ b/proofs/crankentryproof/jobs_test.go
@@ -6,7 +6,6 @@
 
 	crank "cranberrycrank"
 	"cranberrycrank/internal/crankgate"
-	"cranberrycrank/internal/crankjobs"
 	"cranberrycrank/standin/crankfakefleet"
 	"cranberrycrank/standin/crankfakestore"
 
@@ -21,8 +20,8 @@
 		second.After = []int{0}
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(12, 2*time.Second), second))
 		is.NoErr(c.submit("b", "urgent", "job2", gangStep(4, 8, time.Second)))
-		c.awaitPhase("c", "urgent", "job2", crankjobs.PhaseCompleted, 3*time.Second)
-		c.awaitPhase("c", "patient", "job1", crankjobs.PhaseCompleted, 6*time.Second)
+		c.awaitPhase("c", "urgent", "job2", crank.PhaseCompleted, 3*time.Second)
+		c.awaitPhase("c", "patient", "job1", crank.PhaseCompleted, 6*time.Second)
 		is.Equal(c.fleet.Runs(), 12+6+4)
 		_, err := c.phase("a", "patient", "nobody")
 		is.Equal(crank.KindOf(err), crank.KindExpired)
@@ -36,7 +35,7 @@
 		for _, name := range []string{"a", "b", "c"} {
 			is.NoErr(c.submit(name, "urgent", "job1", gangStep(2, 4, time.Second)))
 		}
-		c.awaitPhase("a", "urgent", "job1", crankjobs.PhaseCompleted, 4*time.Second)
+		c.awaitPhase("a", "urgent", "job1", crank.PhaseCompleted, 4*time.Second)
 		is.NoErr(c.submit("b", "urgent", "job1", gangStep(2, 4, time.Second)))
 		time.Sleep(3 * time.Second)
 		is.Equal(c.fleet.Runs(), 2)
@@ -50,10 +49,10 @@
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(8, time.Minute)))
 		time.Sleep(time.Second)
 		is.NoErr(c.cancel("b", "patient", "job1"))
-		c.awaitPhase("c", "patient", "job1", crankjobs.PhaseCancelled, time.Second)
+		c.awaitPhase("c", "patient", "job1", crank.PhaseCancelled, time.Second)
 		// Its capacity is free again: a job that needs all workers starts at once.
 		is.NoErr(c.submit("a", "urgent", "job2", gangStep(4, 8, time.Second)))
-		c.awaitPhase("c", "urgent", "job2", crankjobs.PhaseCompleted, 3*time.Second)
+		c.awaitPhase("c", "urgent", "job2", crank.PhaseCompleted, 3*time.Second)
 	})
 }
 
@@ -65,7 +64,7 @@
 			f.Fails = func(id crank.TaskID, _ int64, _ string) bool { return id.Job == "job1" }
 		})
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(2, time.Second)))
-		c.awaitPhase("b", "patient", "job1", crankjobs.PhaseFailed, 8*time.Second)
+		c.awaitPhase("b", "patient", "job1", crank.PhaseFailed, 8*time.Second)
 	})
 }
 
@@ -76,8 +75,8 @@
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(32, 20*time.Second)))
 		time.Sleep(2 * time.Second)
 		is.NoErr(c.submit("b", "urgent", "job2", gangStep(4, 8, time.Second)))
-		c.awaitPhase("c", "urgent", "job2", crankjobs.PhaseCompleted, 2700*time.Millisecond)
-		c.awaitPhase("c", "patient", "job1", crankjobs.PhaseCompleted, 40*time.Second)
+		c.awaitPhase("c", "urgent", "job2", crank.PhaseCompleted, 2700*time.Millisecond)
+		c.awaitPhase("c", "patient", "job1", crank.PhaseCompleted, 40*time.Second)
 	})
 }
 
@@ -94,8 +93,8 @@
 		anyRack := gangStep(2, 8, time.Second)
 		anyRack.SameRack = false
 		is.NoErr(c.submit("b", "urgent", "job3", anyRack))
-		c.awaitPhase("c", "urgent", "job3", crankjobs.PhaseCompleted, 2700*time.Millisecond)
-		c.awaitPhase("c", "urgent", "job2", crankjobs.PhaseCompleted, 3*time.Second) // it was not preempted
+		c.awaitPhase("c", "urgent", "job3", crank.PhaseCompleted, 2700*time.Millisecond)
+		c.awaitPhase("c", "urgent", "job2", crank.PhaseCompleted, 3*time.Second) // it was not preempted
 	})
 }
 
@@ -111,7 +110,7 @@
 			time.Sleep(time.Second)
 		}
 		for _, id := range []string{"job1", "job2", "job3", "job4", "job5", "job6"} {
-			c.awaitPhase("a", "patient", id, crankjobs.PhaseCompleted, 5*time.Second)
+			c.awaitPhase("a", "patient", id, crank.PhaseCompleted, 5*time.Second)
 		}
 	})
 }
@@ -122,7 +121,7 @@
 		c.setUp(2)
 		c.fleet.UpdateConfig(func(f *crankfakefleet.Config) { f.Stuck = func(worker string) bool { return worker == "w00" } })
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(4, time.Second)))
-		c.awaitPhase("a", "patient", "job1", crankjobs.PhaseCompleted, 9*time.Second)
+		c.awaitPhase("a", "patient", "job1", crank.PhaseCompleted, 9*time.Second)
 	})
 }
 
@@ -140,7 +139,7 @@
 			}
 		})
 		is.NoErr(c.submit("a", "urgent", "job1", gangStep(4, 8, time.Second)))
-		c.awaitPhase("a", "urgent", "job1", crankjobs.PhaseCompleted, 10*time.Second)
+		c.awaitPhase("a", "urgent", "job1", crank.PhaseCompleted, 10*time.Second)
 		is.Equal(c.fleet.Runs(), 4)
 	})
 }
@@ -160,7 +159,7 @@
 			}
 		})
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(40, time.Second)))
-		c.awaitPhase("a", "patient", "job1", crankjobs.PhaseCompleted, 8*time.Second)
+		c.awaitPhase("a", "patient", "job1", crank.PhaseCompleted, 8*time.Second)
 	})
 }
 
@@ -207,7 +206,7 @@
 			}
 		})
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(1, time.Second)))
-		c.awaitPhase("b", "patient", "job1", crankjobs.PhaseCompleted, 8*time.Second)
+		c.awaitPhase("b", "patient", "job1", crank.PhaseCompleted, 8*time.Second)
 		is.Equal(c.fleet.Runs(), 1)
 	})
 }
@@ -230,8 +229,8 @@
 		is.NoErr(c.submit("b", "urgent", "job2", gangStep(4, 4, time.Second)))
 		time.Sleep(8 * time.Second)
 		c.update(func() { c.workerFaults = nil })
-		c.awaitPhase("c", "patient", "job1", crankjobs.PhaseCompleted, 20*time.Second)
-		c.awaitPhase("c", "urgent", "job2", crankjobs.PhaseCompleted, 20*time.Second)
+		c.awaitPhase("c", "patient", "job1", crank.PhaseCompleted, 20*time.Second)
+		c.awaitPhase("c", "urgent", "job2", crank.PhaseCompleted, 20*time.Second)
 	})
 }
 
@@ -252,7 +251,7 @@
 			}
 		})
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(1, 4*time.Second)))
-		c.awaitPhase("c", "patient", "job1", crankjobs.PhaseCompleted, 20*time.Second)
+		c.awaitPhase("c", "patient", "job1", crank.PhaseCompleted, 20*time.Second)
 	})
 }
 
@@ -265,7 +264,7 @@
 			f.Fails = func(_ crank.TaskID, run int64, _ string) bool { return run <= 2 }
 		})
 		is.NoErr(c.submit("a", "patient", "job1", independentTasks(1, time.Second)))
-		c.awaitPhase("b", "patient", "job1", crankjobs.PhaseCompleted, 8*time.Second)
+		c.awaitPhase("b", "patient", "job1", crank.PhaseCompleted, 8*time.Second)
 	})
 }
 
@@ -285,7 +284,7 @@
 			c.kill(name)
 		}
 		c.startAll("a", "b", "c")
-		c.awaitPhase("a", "patient", "job1", crankjobs.PhaseCompleted, 8*time.Second)
+		c.awaitPhase("a", "patient", "job1", crank.PhaseCompleted, 8*time.Second)
 	})
 }
 
@@ -333,7 +332,7 @@
 		longRunning := independentTasks(1, time.Hour)
 		longRunning.LongRunning = true
 		is.NoErr(c.submit("b", "patient", "job3", longRunning))
-		c.awaitPhase("b", "patient", "job3", crankjobs.PhaseRunning, 5*time.Second)
+		c.awaitPhase("b", "patient", "job3", crank.PhaseRunning, 5*time.Second)
 	})
 }
 
@@ -357,7 +356,7 @@
 			is.True(time.Since(start) < 1200*time.Millisecond)
 			phase, err := c.phase(name, "urgent", id)
 			is.NoErr(err)
-			is.Equal(phase, crankjobs.PhaseCompleted)
+			is.Equal(phase, crank.PhaseCompleted)
 		}
 	})
 }
@@ -375,7 +374,7 @@
 			}
 			phase, err := c.phase(name, "urgent", id)
 			is.NoErr(err)
-			is.Equal(phase, crankjobs.PhaseCompleted)
+			is.Equal(phase, crank.PhaseCompleted)
 		}
 	})
 }
--- a/proofs/crankentryproof/random_faults_test.go
+++ b/proofs/crankentryproof/random_faults_test.go
@@ -167,7 +167,7 @@
 		}
 		c.ensureAllRunning()
 		for id, queue := range accepted {
-			c.awaitPhase("a", queue, id, crankjobs.PhaseCompleted, 60*time.Second)
+			c.awaitPhase("a", queue, id, crank.PhaseCompleted, 60*time.Second)
 		}
 	})
 }
--- a/proofs/crankentryproof/relay_test.go
+++ b/proofs/crankentryproof/relay_test.go
@@ -6,7 +6,6 @@
 	"time"
 
 	crank "cranberrycrank"
-	"cranberrycrank/internal/crankjobs"
 	"cranberrycrank/standin/crankfakefleet"
 
 	"github.com/matryer/is"
@@ -24,13 +23,13 @@
 		start := time.Now()
 		is.NoErr(c.submit(name, "urgent", "job1", gangStep(2, 4, time.Second)))
 		is.True(time.Since(start) < 600*time.Millisecond) // time for one unanswered call to the store
-		c.awaitPhase(name, "urgent", "job1", crankjobs.PhaseCompleted, 2*time.Second)
+		c.awaitPhase(name, "urgent", "job1", crank.PhaseCompleted, 2*time.Second)
 		for range 30 {
 			time.Sleep(200 * time.Millisecond)
 			is.True(c.running[name].Ready())
 		}
 		is.NoErr(c.submit(name, "urgent", "job2", gangStep(2, 4, time.Second)))
-		c.awaitPhase(name, "urgent", "job2", crankjobs.PhaseCompleted, 1500*time.Millisecond)
+		c.awaitPhase(name, "urgent", "job2", crank.PhaseCompleted, 1500*time.Millisecond)
 	})
 }
 
@@ -43,11 +42,11 @@
 		time.Sleep(800 * time.Millisecond)
 		c.cutFromStore(leader)
 		for _, name := range []string{"a", "b", "c"} {
-			c.awaitPhase(name, "urgent", "job1", crankjobs.PhaseCompleted, 1500*time.Millisecond)
+			c.awaitPhase(name, "urgent", "job1", crank.PhaseCompleted, 1500*time.Millisecond)
 		}
 		time.Sleep(6 * time.Second)
 		is.NoErr(c.submit("b", "urgent", "job2", gangStep(2, 4, time.Second)))
-		c.awaitPhase("c", "urgent", "job2", crankjobs.PhaseCompleted, 1500*time.Millisecond)
+		c.awaitPhase("c", "urgent", "job2", crank.PhaseCompleted, 1500*time.Millisecond)
 		is.Equal(c.termNumber(), term)
 	})
 }
@@ -64,7 +63,7 @@
 		c.reconnect()
 		time.Sleep(3 * time.Second)
 		is.NoErr(c.submit("a", "urgent", "job2", gangStep(2, 4, time.Second)))
-		c.awaitPhase("b", "urgent", "job2", crankjobs.PhaseCompleted, 2*time.Second)
+		c.awaitPhase("b", "urgent", "job2", crank.PhaseCompleted, 2*time.Second)
 	})
 }
 
@@ -101,6 +100,6 @@
 			clear(c.silent)
 			c.workerFaults = nil
 		})
-		c.awaitPhase(other, "patient", "job1", crankjobs.PhaseCompleted, 20*time.Second)
+		c.awaitPhase(other, "patient", "job1", crank.PhaseCompleted, 20*time.Second)
 	})
 }
--- a/store.go
+++ b/store.go
@@ -34,6 +34,12 @@
 	End     Offset // offset of the next record
 }
 
+// OffsetRange is a range of consecutive records.
+type OffsetRange struct {
+	First Offset
+	End   Offset // offset after the last record
+}
+
 // AnyOffset as StoreAppend.ExpectedEnd makes the append unconditional.
 const AnyOffset Offset = -1
 
