Submissions are held while the store is away

Callers used their five tries up before the store was back, or returned up to a second after. After its return the configuration counted as old until a long poll had ended, one second more.

Change: an instance holds a submission or cancellation for half of its caller's time, repeats it every 100 ms and routes it anew each time; who is refused with little time left is told to return at once, to be held elsewhere. A follower whose last read failed reads without waiting. The configuration may be as old as the platform's bound for it allows (setting config-bound; 4 s at Lagos large) instead of 1.7 s everywhere.

Ruled out: holding to the caller's deadline (an instance that is cut off alone would keep callers from others that are not).

Tests: callers that outlast an outage, and a key withdrawn while a submission is held.

--- a/cmd/internal/crankcli/entry.go
+++ b/cmd/internal/crankcli/entry.go
@@ -119,6 +119,7 @@
 		DecodeOperator:  crankadapter.DecodeOperator,
 		Bounds:          p.settings.LeaseBounds,
 		ResultRetention: p.settings.ResultRetention,
+		ConfigBound:     p.settings.ConfigBound,
 		ProcessorShare:  p.settings.ProcessorShare,
 		Uptime:          crankuptime.Read,
 		Logger:          p.logger,
--- a/internal/crankconf/entry.go
+++ b/internal/crankconf/entry.go
@@ -12,12 +12,13 @@
 type EntrySettings struct {
 	Instance        string
 	Zone            string
-	Listen          string  // callers
-	ReadyListen     string  // the load balancer's readiness probe
-	PeerListen      string  // other entry instances
-	MetricsPort     int     // on the IP address of Listen
-	ProcessorShare  float64 // processors that the process may use
-	StoreAddr       string  // the platform's store
+	Listen          string        // callers
+	ReadyListen     string        // the load balancer's readiness probe
+	PeerListen      string        // other entry instances
+	MetricsPort     int           // on the IP address of Listen
+	ProcessorShare  float64       // processors that the process may use
+	StoreAddr       string        // the platform's store
+	ConfigBound     time.Duration // within which a published configuration must be in force
 	LeaseBounds     crank.LeaseBounds
 	ResultRetention time.Duration // of the state of ended jobs
 	DrainTimeout    time.Duration // from SIGTERM to the exit of the process
@@ -64,6 +65,7 @@
 		MetricsPort:    instance.integer("metrics-port", defaultMetricsPort, 1, maxPort),
 		ProcessorShare: instance.number("processor-share", 1, minProcessorShare, maxProcessorShare),
 		StoreAddr:      platform.address("store"),
+		ConfigBound:    platform.duration("config-bound", 2*time.Second, time.Second, time.Hour),
 		LeaseBounds: crank.LeaseBounds{
 			MaxLease:    workers.duration("longest-lease", 0, 500*time.Millisecond, maxLease),
 			StopTime:    workers.duration("stop-time", 0, time.Millisecond, time.Minute),
--- a/internal/crankfeed/follower.go
+++ b/internal/crankfeed/follower.go
@@ -87,7 +87,8 @@
 		return f.load(ctx)
 	}
 	begun, wait := time.Now(), time.Duration(0)
-	if f.Wait != nil {
+	// After a failure, a read that does not wait tells at once that the store is back.
+	if f.Wait != nil && !f.failing {
 		wait = f.Wait()
 	}
 	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
--- /dev/null
+++ b/internal/crankgate/submit.go
@@ -0,0 +1,113 @@
+package crankgate
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankfeed"
+	"cranberrycrank/internal/crankjobs"
+)
+
+// Submit stores a job, which is accepted only if Submit returns nil. After an
+// error of KindUnavailable or KindInvalid it never runs; after one of
+// KindUnknown it may.
+func (h *RequestHandler) Submit(ctx context.Context, r RoutedRequest, job crank.StepJob) error {
+	attempts := 0
+	err := h.whileHeld(ctx, r, func(r RoutedRequest) error {
+		attempts++
+		return h.submit(ctx, r, job)
+	})
+	took := time.Since(r.Arrived)
+	h.Scope.Tagged(map[string]string{"result": resultOf(err)}).Timer("submit").Record(took)
+	level := slog.LevelInfo
+	if err != nil {
+		level = slog.LevelWarn
+	}
+	h.Logger.Log(ctx, level, "gate: submission", "job", r.Job, "queue", r.Queue.Name, "workspace", r.Workspace, "config", r.Version,
+		"result", resultOf(err), "attempts", attempts, "took", took.Round(time.Millisecond), "error", err)
+	return err
+}
+
+// whileHeld repeats a call that certainly had no effect until the hold policy refuses
+// the request. It routes the request again before each repeat, since the
+// configuration may have changed meanwhile.
+func (h *RequestHandler) whileHeld(ctx context.Context, r RoutedRequest, call func(RoutedRequest) error) error {
+	for {
+		err := call(r)
+		if err == nil || crank.KindOf(err) != crank.KindUnavailable || !r.request.Hold {
+			return err
+		}
+		next := hold.After(r.admission(), time.Now())
+		if !next.Retry {
+			return &Refusal{Cause: err, RetryAfter: next.RetryAfter}
+		}
+		crankfeed.Sleep(ctx, next.Delay)
+		if ctx.Err() != nil {
+			return err
+		}
+		if r, err = h.route(ctx, r); err != nil {
+			return err
+		}
+	}
+}
+
+func (h *RequestHandler) submit(ctx context.Context, r RoutedRequest, job crank.StepJob) error {
+	const op = "submit"
+	job.ID, job.Queue, job.Workspace = r.Job, r.Queue.Name, r.Workspace
+	job.Pool, job.Priority, job.Attempts = r.Queue.Pool, r.Queue.Priority, r.Queue.Attempts
+	job.SlackFactor, job.TargetLatency, job.Accepted = r.Queue.SlackFactor, r.Queue.TargetLatency, r.Arrived.Round(0)
+	if r.Job == "" {
+		return crank.Fail(op, crank.KindInvalid, "the path names no job")
+	}
+	if _, known := h.Jobs.View().State.Job(r.Job); known {
+		return nil
+	}
+	if r.Queue.NeedsAdvisor {
+		return crank.Fail(op, crank.KindInvalid, "queues with an advisor are not supported")
+	}
+	if err := job.Validate(); err != nil {
+		return err
+	}
+	record, err := crankjobs.SubmissionRecord(job)
+	if err != nil {
+		return err
+	}
+	return h.storeSubmission(ctx, r, job, record)
+}
+
+// storeSubmission stores a job through the leader, which then starts it without
+// reading it first, or else directly. The job topic keeps the first record of a job,
+// so storing it on both ways does no harm.
+func (h *RequestHandler) storeSubmission(ctx context.Context, r RoutedRequest, job crank.StepJob, record crank.KeyedRecord) error {
+	callCtx, cancel := context.WithTimeout(ctx, min(leaderTimeout, time.Until(r.Deadline)))
+	defer cancel()
+	leaderErr := h.Leader.Submit(callCtx, job)
+	if leaderErr == nil || crank.KindOf(leaderErr) == crank.KindInvalid {
+		return leaderErr
+	}
+	h.Logger.Debug("gate: leader did not store a submission", "job", job.ID, "error", leaderErr)
+	err := h.append(ctx, r, record)
+	if crank.KindOf(leaderErr) == crank.KindUnknown && crank.KindOf(err) == crank.KindUnavailable {
+		return &crank.Error{Op: "submit", Kind: crank.KindUnknown, Cause: err}
+	}
+	return err
+}
+
+func (h *RequestHandler) append(ctx context.Context, r RoutedRequest, record crank.KeyedRecord) error {
+	callCtx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	_, err := h.Writer.Append(callCtx, record)
+	return err
+}
+
+// Cancel cancels a job. An error of KindExpired means that it does not exist.
+func (h *RequestHandler) Cancel(ctx context.Context, r RoutedRequest) error {
+	j, err := h.findJob(ctx, r)
+	if err == nil && !j.Ended() {
+		err = h.whileHeld(ctx, r, func(r RoutedRequest) error { return h.append(ctx, r, crankjobs.CancellationRecord(r.Job)) })
+	}
+	h.Logger.Info("gate: cancellation", "job", r.Job, "phase", j.Phase(), "result", resultOf(err), "took", time.Since(r.Arrived).Round(time.Millisecond), "error", err)
+	return err
+}
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -178,13 +178,22 @@
 
 // publishConfig writes a configuration with an urgent and a patient queue.
 func (c *cluster) publishConfig(version int64) {
+	c.publish(version, []crank.QueueWorkspace{{Name: "desk", Keys: []string{guaranteedKey}, Guaranteed: 32}, {Name: "ward", Keys: []string{unguaranteedKey}}})
+}
+
+// publishWithoutKeys writes a configuration in which no key opens a workspace.
+func (c *cluster) publishWithoutKeys(version int64) {
+	c.publish(version, []crank.QueueWorkspace{{Name: "desk", Guaranteed: 32}, {Name: "ward"}})
+}
+
+func (c *cluster) publish(version int64, workspaces []crank.QueueWorkspace) {
 	config := crank.QueueConfig{
 		Version: version,
 		Queues: []crank.Queue{
 			{Name: "urgent", Host: host, Prefix: "/urgent/", Pool: "desk", Priority: 0, Attempts: 3, SlackFactor: 1.5, TargetLatency: 250 * time.Millisecond},
 			{Name: "patient", Host: host, Prefix: "/patient/", Pool: "desk", Priority: 1, Attempts: 3, SlackFactor: 3, TargetLatency: time.Second},
 		},
-		Workspaces: []crank.QueueWorkspace{{Name: "desk", Keys: []string{guaranteedKey}, Guaranteed: 32}, {Name: "ward", Keys: []string{unguaranteedKey}}},
+		Workspaces: workspaces,
 	}
 	data, err := json.Marshal(config)
 	if err != nil {
@@ -405,7 +414,7 @@
 
 func (c *cluster) submit(name, queue, id string, steps ...crank.Step) error {
 	job := crank.StepJob{Payload: "plan " + id, Steps: steps}
-	r, err := c.running[name].Requests.Route(crankgate.Request{Host: host, Path: "/" + queue + "/" + id, Key: c.key, Deadline: 3 * time.Second})
+	r, err := c.running[name].Requests.Route(c.t.Context(), crankgate.Request{Host: host, Path: "/" + queue + "/" + id, Key: c.key, Deadline: 3 * time.Second, Hold: true})
 	if err != nil {
 		return err
 	}
@@ -416,7 +425,7 @@
 }
 
 func (c *cluster) cancel(name, queue, id string) error {
-	r, err := c.running[name].Requests.Route(crankgate.Request{Host: host, Path: "/" + queue + "/" + id, Key: c.key})
+	r, err := c.running[name].Requests.Route(c.t.Context(), crankgate.Request{Host: host, Path: "/" + queue + "/" + id, Key: c.key})
 	if err != nil {
 		return err
 	}
@@ -424,7 +433,7 @@
 }
 
 func (c *cluster) phase(name, queue, id string) (crank.Phase, error) {
-	r, err := c.running[name].Requests.Route(crankgate.Request{Host: host, Path: "/" + queue + "/" + id, Key: c.key})
+	r, err := c.running[name].Requests.Route(c.t.Context(), crankgate.Request{Host: host, Path: "/" + queue + "/" + id, Key: c.key})
 	if err != nil {
 		return "", err
 	}
--- a/proofs/crankentryproof/jobs_test.go
+++ b/proofs/crankentryproof/jobs_test.go
@@ -5,7 +5,6 @@
 	"time"
 
 	crank "cranberrycrank"
-	"cranberrycrank/internal/crankgate"
 	"cranberrycrank/standin/crankfakefleet"
 	"cranberrycrank/standin/crankfakestore"
 
@@ -168,7 +167,7 @@
 		is := is.New(t)
 		c.setUp(1)
 		c.isolate("a")
-		time.Sleep(crankgate.MaxConfigAge + 2*time.Second)
+		time.Sleep(c.running["a"].Requests.MaxConfigAge() + 2*time.Second)
 		is.True(!c.running["a"].Ready())
 		is.Equal(crank.KindOf(c.submit("a", "patient", "job1", independentTasks(1, time.Second))), crank.KindUnavailable)
 		c.reconnect()
