The loss of the leader is noticed after 1.1 s instead of 2 s

Cause: every job that is accepted, running or ending while the leader is gone waits for its successor.

Change: heartbeats every 300 ms, up to four without an answer at a time, so a slow or lossy store does not thin them out; the term is over after 1.1 s. The term topic is read every 400 ms. Time in which it could not be read does not count, measured from what a read covers.

Ruled out: shorter timeouts with heartbeats one at a time (a lost answer alone makes a gap of a second).

--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -24,13 +24,16 @@
 
 // Timing of elections and terms.
 const (
-	HeartbeatPeriod  = 500 * time.Millisecond  // between heartbeats
-	HeartbeatTimeout = 2000 * time.Millisecond // the term is over after four missed heartbeats
+	HeartbeatPeriod  = 300 * time.Millisecond  // between heartbeats
+	HeartbeatTimeout = 1100 * time.Millisecond // the term is over after three missed heartbeats
+	maxHeartbeats    = 4                       // heartbeats without an answer; further ones are left out
 	claimJitter      = 60 * time.Millisecond   // longest random delay of a claim, so that few collide
 	lowShareDelay    = 200 * time.Millisecond  // extra delay of a claim by an instance with no processor share
 	claimTimeout     = 500 * time.Millisecond  // longest wait for a claim to be read back before the next one
-	maxReadWait      = 1 * time.Second         // longest wait of one read for a record
-	minReadInterval  = 100 * time.Millisecond  // between the starts of reads
+	maxReadWait      = 100 * time.Millisecond  // longest wait of one read for a record
+	minReadInterval  = 400 * time.Millisecond  // between the starts of reads
+	maxReadGap       = 600 * time.Millisecond  // from one read to what the next one covers, while reads succeed
+	maxReadAge       = 2 * time.Second         // of the topic, for a claim
 	callTimeout      = 1 * time.Second         // of one append
 
 	// GracePeriod is how long a holder keeps working without reaching the store.
@@ -183,12 +186,12 @@
 }
 
 // CaughtUp implements crankfeed.Sink. HeartbeatTimeout starts anew if the topic
-// could not be read for longer than that.
-func (e *Elector) CaughtUp(_ time.Time, end crank.Offset) {
+// could not be read, since the holder could not append heartbeats then either.
+func (e *Elector) CaughtUp(at time.Time, end crank.Offset) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	now := time.Now()
-	if !e.loaded || now.Sub(e.lastRead) > HeartbeatTimeout {
+	if !e.loaded || at.Sub(e.lastRead) > maxReadGap {
 		e.holderSeen = now
 	}
 	e.loaded, e.lastRead, e.topicEnd, e.storeReached = true, now, end, e.Uptime()
@@ -240,7 +243,7 @@
 	defer e.mu.Unlock()
 	over := e.term.Number <= e.releasedTerm || time.Since(e.holderSeen) > HeartbeatTimeout ||
 		(e.term.Holder == e.Incarnation && e.term.Number <= e.resignedTerm) || e.isPriorIncarnation(e.term.Holder)
-	fresh := e.loaded && time.Since(e.lastRead) < maxReadWait+callTimeout
+	fresh := e.loaded && time.Since(e.lastRead) < maxReadAge
 	return Term{Number: e.term.Number + 1, Holder: e.Incarnation}, e.topicEnd, over && fresh
 }
 
@@ -291,7 +294,7 @@
 		}
 		select {
 		case <-e.changed:
-		case <-time.After(HeartbeatPeriod):
+		case <-time.After(HeartbeatPeriod / 2):
 		case <-ctx.Done():
 		}
 	}
@@ -338,8 +341,7 @@
 	ticker := time.NewTicker(HeartbeatPeriod)
 	defer ticker.Stop()
 	count := int64(0)
-	heartbeatResult := make(chan error, 1)
-	heartbeatResult <- nil
+	heartbeats := make(chan struct{}, maxHeartbeats) // holds a token for each one without an answer
 	for {
 		if held, ok := e.holdsTerm(); !ok || held != number || ctx.Err() != nil {
 			break
@@ -348,10 +350,15 @@
 		case <-e.changed:
 		case <-ticker.C:
 			select {
-			case <-heartbeatResult:
+			case heartbeats <- struct{}{}:
 				count++
-				go func(h heartbeatRecord) { heartbeatResult <- e.append(leadCtx, heartbeatKey, h, crank.AnyOffset) }(heartbeatRecord{Term: number, Count: count})
-			default: // the previous heartbeat has no answer yet
+				go func(h heartbeatRecord) {
+					defer func() { <-heartbeats }()
+					if err := e.append(leadCtx, heartbeatKey, h, crank.AnyOffset); err != nil {
+						e.Logger.Debug("lead: heartbeat failed", "term", h.Term, "count", h.Count, "error", err)
+					}
+				}(heartbeatRecord{Term: number, Count: count})
+			default:
 			}
 		case <-ctx.Done():
 		}
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -222,7 +222,7 @@
 	inst := &instance{caller: caller, stop: stop, done: make(chan struct{})}
 	inst.Entry = crankentry.New(crankentry.Config{
 		Instance: name, Zone: name, PeerAddr: name, Peers: peerDialer{c, caller}, Leaders: peerDialer{c, caller}, Store: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
-		DecodeWorker: crankfakefleet.Decode, DecodeOperator: decodeOperator, Bounds: leaseBounds, ResultRetention: 2 * time.Minute,
+		DecodeWorker: crankfakefleet.Decode, DecodeOperator: decodeOperator, Bounds: leaseBounds, ResultRetention: 2 * time.Minute, ProcessorShare: 0.8,
 		Uptime: func() time.Duration { return time.Since(c.started) },
 		Logger: slog.New(slog.NewTextHandler(logOutput, nil)).With("instance", caller), Scope: tally.NoopScope,
 	})
--- a/proofs/crankentryproof/slow_store_test.go
+++ b/proofs/crankentryproof/slow_store_test.go
@@ -67,3 +67,17 @@
 		is.Equal(c.fleet.Runs(), 2)
 	})
 }
+
+// slowAndLossy returns faults of a store that is slow and loses the answer to every
+// third append.
+func slowAndLossy() func(caller, call string) crankfakestore.Fault {
+	appends := 0
+	return func(_, call string) crankfakestore.Fault {
+		f := crankfakestore.Fault{Delay: slowAnswer}
+		if call == "append" {
+			appends++
+			f.DropResponse = appends%3 == 0
+		}
+		return f
+	}
+}
