Circuit breaker in front of the store; preemption searches less

Change: a circuit per topic and kind of call opens when a call is refused on all paths, and lets one probe through per interval, which grows with the number of instances. Claims are spread by the number of instances as well, and busy reads are shared.

--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -55,6 +55,7 @@
 	operatorReadWait = 1 * time.Second        // of the operator topic; bounds the age of the configuration while nothing is published
 	idleReadInterval = 500 * time.Millisecond // of the job topic while no caller waits for a change
 	busyReadInterval = 15 * time.Millisecond  // of the job topic at the planner or while callers wait
+	busyReadShare    = 1 * time.Millisecond   // of the job topic while callers wait, by all instances together
 	// A read that arrives during an append is answered only at the next append,
 	// so reads of the job topic wait only briefly.
 	idleReadWait = 150 * time.Millisecond
@@ -82,7 +83,7 @@
 func New(c Config) *Entry {
 	e := &Entry{jobs: crankjobs.New(c.Logger), peerKey: rand.Text()}
 	e.relay = crankrelay.NewStore(crankrelay.StoreConfig{
-		Primary: meteredStore{c.Store, meter{c.Scope, "store_call"}}, Peers: e.storePeers, Logger: c.Logger, Scope: c.Scope,
+		Primary: meteredStore{c.Store, meter{c.Scope, "store_call"}}, Peers: e.storePeers, Instances: e.instanceCount, Logger: c.Logger, Scope: c.Scope,
 	})
 	c.Store = e.relay
 	c.Workers = meteredDialer{c.Workers, meter{c.Scope, "worker_call"}}
@@ -94,7 +95,7 @@
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.OperatorTopic, Logger: c.Logger, Wait: crankfeed.Constant(operatorReadWait), Sink: operator}),
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Wait: e.jobReadWait, MinInterval: e.jobReadInterval, Wake: e.jobs.WaitStarted(), Sink: e.jobs}),
 	}
-	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, ProcessorShare: c.ProcessorShare, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.HeldTerm) {
+	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, ProcessorShare: c.ProcessorShare, Instances: e.instanceCount, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.HeldTerm) {
 		scheduler := cranksched.New(cranksched.Config{
 			Term: h.Number, Leadership: h, Store: c.Store, Jobs: e.jobs, Operator: operator, Decode: c.DecodeWorker, Workers: c.Workers,
 			Bounds: c.Bounds, Overlap: h.Overlap, Retention: c.ResultRetention + retentionMargin, Logger: c.Logger, Scope: c.Scope,
@@ -118,12 +119,18 @@
 }
 
 func (e *Entry) jobReadInterval() time.Duration {
-	if e.scheduler.Load() != nil || e.jobs.HasWaiters() {
+	switch {
+	case e.scheduler.Load() != nil:
 		return busyReadInterval
+	case e.jobs.HasWaiters():
+		return min(idleReadInterval, max(busyReadInterval, time.Duration(e.instanceCount())*busyReadShare))
 	}
 	return idleReadInterval
 }
 
+// instanceCount returns how many instances share the store.
+func (e *Entry) instanceCount() int { return max(1, e.jobs.View().State.InstanceCount()) }
+
 // Ready reports whether this instance accepts requests.
 func (e *Entry) Ready() bool { return !e.draining.Load() && e.Requests.Ready() }
 
--- a/internal/crankjobs/instance.go
+++ b/internal/crankjobs/instance.go
@@ -55,6 +55,9 @@
 	return a.Announcement, ok && now.Sub(a.seen) <= announcementTTL
 }
 
+// InstanceCount returns the number of announcements, including expired ones.
+func (s State) InstanceCount() int { return s.instances.Len() }
+
 // Instances returns the announcements that have not expired, and the IDs of
 // those that have.
 func (s State) Instances(now time.Time) (live []Announcement, expired []string) {
--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -27,7 +27,8 @@
 	HeartbeatPeriod  = 300 * time.Millisecond  // between heartbeats
 	HeartbeatTimeout = 1100 * time.Millisecond // the term is over after three missed heartbeats
 	maxHeartbeats    = 4                       // heartbeats without an answer; further ones are left out
-	claimJitter      = 60 * time.Millisecond   // longest random delay of a claim, so that few collide
+	minClaimJitter   = 60 * time.Millisecond   // longest random delay of a claim by one of a few instances
+	claimShare       = 1 * time.Millisecond    // longest random delay for each instance, so that few claims collide
 	lowShareDelay    = 200 * time.Millisecond  // extra delay of a claim by an instance with no processor share
 	claimTimeout     = 500 * time.Millisecond  // longest wait for a claim to be read back before the next one
 	maxReadWait      = 100 * time.Millisecond  // longest wait of one read for a record
@@ -70,8 +71,9 @@
 
 // Config holds the settings and dependencies of an Elector.
 type Config struct {
-	Instance       string  // unique among the instances
-	ProcessorShare float64 // of a processor that the instance may use; a larger share claims earlier
+	Instance       string     // unique among the instances
+	ProcessorShare float64    // of a processor that the instance may use; a larger share claims earlier
+	Instances      func() int // that may claim the term
 	Store          crank.Store
 	Logger         *slog.Logger
 	Uptime         crank.Uptime
@@ -305,7 +307,8 @@
 // claim appends a claim unless another instance was first, and waits up to
 // claimTimeout to read it back, which tells whether it was stored.
 func (e *Elector) claim(ctx context.Context, next Term, at crank.Offset) {
-	crankfeed.Sleep(ctx, mathrand.N(claimJitter)+time.Duration(float64(lowShareDelay)*(1-min(1, e.ProcessorShare))))
+	jitter := max(minClaimJitter, time.Duration(e.Instances())*claimShare)
+	crankfeed.Sleep(ctx, mathrand.N(jitter)+time.Duration(float64(lowShareDelay)*(1-min(1, e.ProcessorShare))))
 	again, end, ok := e.nextClaim()
 	if !ok || again != next || end != at {
 		return
--- a/internal/crankpack/pack_test.go
+++ b/internal/crankpack/pack_test.go
@@ -70,7 +70,7 @@
 		if pool.Place(q, FutureCapacity) != nil {
 			return
 		}
-		chosen := pool.Preempt(q, victims)
+		chosen := pool.Preempt(q, NewVictimIndex(victims))
 		if chosen == nil {
 			return
 		}
@@ -83,6 +83,24 @@
 	})
 }
 
+// fitsAfterPreempting places the request on copies of the workers, whose victims have
+// stopped.
+func fitsAfterPreempting(workers []*WorkerCapacity, q Request, victims []Victim) bool {
+	freed := make(map[string]crank.Demand)
+	for _, v := range victims {
+		for _, p := range v.Parts {
+			freed[p.Worker] = freed[p.Worker].Plus(p.Demand)
+		}
+	}
+	trial := make([]*WorkerCapacity, len(workers))
+	for i, w := range workers {
+		c := *w
+		c.Future = c.Future.Plus(freed[w.Worker])
+		trial[i] = &c
+	}
+	return placeBestFit(trial, q, FutureCapacity) != nil
+}
+
 func fitsAnyRackAfterPreempting(p *Pool, q Request, victims []Victim) bool {
 	if !q.Step.SameRack {
 		return fitsAfterPreempting(p.Workers, q, victims)
--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -63,6 +63,18 @@
 	kind       CapacityKind
 }
 
+// RequestClass is all of a request but its number of tasks that decides whether it
+// fits.
+type RequestClass struct{ class equivalenceClass }
+
+// ClassOf returns the class of a request, and false if its workers differ in more than
+// their capacity.
+func ClassOf(q Request) (RequestClass, bool) {
+	q.Tasks = 0
+	class, cacheable := classOf(q, FutureCapacity)
+	return RequestClass{class}, cacheable
+}
+
 // classOf returns the class of a request, and false if results may not be cached by
 // class, because Avoid or MaxPerWorker make workers differ.
 func classOf(q Request, k CapacityKind) (equivalenceClass, bool) {
@@ -113,8 +125,9 @@
 	return k == TotalCapacity || q.Avoid == nil || !q.Avoid(w.Worker)
 }
 
-// fitCount returns how many tasks of the request fit, at most limit.
-func (w *WorkerCapacity) fitCount(q Request, k CapacityKind, limit int) int {
+// fitCount returns how many tasks of the request fit, at most limit, once freed is
+// available as well.
+func (w *WorkerCapacity) fitCount(q Request, k CapacityKind, freed crank.Demand, limit int) int {
 	if !w.admits(q, k) {
 		return 0
 	}
@@ -125,7 +138,7 @@
 		}
 		limit = min(limit, m-held)
 	}
-	have, need := w.available(k), q.Step.ReservedCapacity()
+	have, need := w.available(k).Plus(freed), q.Step.ReservedCapacity()
 	n := 0
 	for n < limit && have.Covers(need) {
 		have = have.Minus(need)
@@ -231,7 +244,7 @@
 	slices.SortStableFunc(sorted, byBestFit(k))
 	var placed []*WorkerCapacity
 	for _, w := range sorted {
-		n := w.fitCount(q, k, q.Tasks-len(placed))
+		n := w.fitCount(q, k, crank.Demand{}, q.Tasks-len(placed))
 		for range n {
 			placed = append(placed, w)
 		}
--- a/internal/crankpack/preempt.go
+++ b/internal/crankpack/preempt.go
@@ -2,8 +2,8 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
-	"sort"
 
 	crank "cranberrycrank"
 )
@@ -23,7 +23,11 @@
 
 // Preempt returns the cheapest victims found whose stop lets the request fit, or nil.
 // It is greedy and need not find the optimum. It does not change the pool.
-func (p *Pool) Preempt(q Request, victims []Victim) []Victim {
+//
+// Load pattern: a burst of urgent gangs meets a full pool, and most of them find too
+// little to preempt. Such a request costs one look at each worker and victim, since
+// victims are ordered only on workers where stopping all of them is enough.
+func (p *Pool) Preempt(q Request, victims VictimIndex) []Victim {
 	groups := p.racks
 	if !q.Step.SameRack {
 		groups = [][]*WorkerCapacity{p.Workers}
@@ -31,7 +35,7 @@
 	var best []Victim
 	bestCost := 0.0
 	for _, workers := range groups {
-		chosen := chooseVictims(workers, q, victims)
+		chosen := victims.choose(workers, q)
 		if chosen == nil {
 			continue
 		}
@@ -42,71 +46,139 @@
 	return best
 }
 
-// chooseVictims takes victims by cost per freed core until the request fits on
-// the workers, then drops those that are not needed.
-func chooseVictims(workers []*WorkerCapacity, q Request, victims []Victim) []Victim {
-	usable := make(map[string]bool, len(workers))
-	for _, w := range workers {
-		usable[w.Worker] = w.admits(q, FutureCapacity)
-	}
-	var useful []Victim
-	for _, v := range victims {
-		if v.freedOn(usable).Cores() > 0 {
-			useful = append(useful, v)
+// VictimIndex finds the victims that hold capacity on a worker.
+type VictimIndex struct {
+	victims  []Victim
+	byWorker map[string][]victimHold
+}
+
+// victimHold is what one victim holds on a worker.
+type victimHold struct {
+	victim int // index of the victim
+	demand crank.Demand
+}
+
+// NewVictimIndex returns an index of victims.
+func NewVictimIndex(victims []Victim) VictimIndex {
+	byWorker := make(map[string][]victimHold)
+	for i, v := range victims {
+		for _, part := range v.Parts {
+			byWorker[part.Worker] = append(byWorker[part.Worker], victimHold{i, part.Demand})
 		}
 	}
-	slices.SortStableFunc(useful, func(a, b Victim) int {
-		return cmp.Compare(a.Cost/a.freedOn(usable).Cores(), b.Cost/b.freedOn(usable).Cores())
-	})
-	// Stopping more victims never frees less, so a binary search finds the
-	// shortest sufficient prefix.
-	if !fitsAfterPreempting(workers, q, useful) {
+	return VictimIndex{victims, byWorker}
+}
+
+// usefulVictim is a victim that frees capacity for a request.
+type usefulVictim struct {
+	Victim
+	costPerCore float64 // of the freed cores
+}
+
+// choose takes victims by cost per freed core until the request fits on the workers,
+// then drops those that are not needed.
+func (x VictimIndex) choose(workers []*WorkerCapacity, q Request) []Victim {
+	useful := x.usefulOn(workers, q)
+	trial := newStopTrial(workers, q)
+	for _, v := range useful {
+		trial.stop(v.Victim)
+	}
+	if !trial.fits() {
 		return nil
 	}
-	n := sort.Search(len(useful), func(n int) bool { return fitsAfterPreempting(workers, q, useful[:n]) })
-	return prune(workers, q, useful[:n])
+	slices.SortStableFunc(useful, func(a, b usefulVictim) int { return cmp.Compare(a.costPerCore, b.costPerCore) })
+	trial = newStopTrial(workers, q)
+	var chosen []Victim
+	for _, v := range useful {
+		if trial.fits() {
+			break
+		}
+		trial.stop(v.Victim)
+		chosen = append(chosen, v.Victim)
+	}
+	return trial.prune(chosen)
 }
 
-// freedOn returns what stopping the victim frees on usable workers.
-func (v Victim) freedOn(usable map[string]bool) crank.Demand {
-	var sum crank.Demand
-	for _, p := range v.Parts {
-		if usable[p.Worker] {
-			sum = sum.Plus(p.Demand)
+// usefulOn returns the victims whose stop frees capacity on workers that admit the
+// request, in the order of the index.
+func (x VictimIndex) usefulOn(workers []*WorkerCapacity, q Request) []usefulVictim {
+	freedCores := make(map[int]float64)
+	for _, w := range workers {
+		if !w.admits(q, FutureCapacity) {
+			continue
+		}
+		for _, h := range x.byWorker[w.Worker] {
+			freedCores[h.victim] += h.demand.Cores()
 		}
 	}
-	return sum
+	useful := make([]usefulVictim, 0, len(freedCores))
+	for _, i := range slices.Sorted(maps.Keys(freedCores)) {
+		if freedCores[i] > 0 {
+			useful = append(useful, usefulVictim{x.victims[i], x.victims[i].Cost / freedCores[i]})
+		}
+	}
+	return useful
 }
 
-// fitsAfterPreempting reports whether the request fits once the victims have stopped.
-func fitsAfterPreempting(workers []*WorkerCapacity, q Request, victims []Victim) bool {
-	freed := make(map[string]crank.Demand)
-	for _, v := range victims {
-		for _, p := range v.Parts {
-			freed[p.Worker] = freed[p.Worker].Plus(p.Demand)
+// stopTrial counts how many tasks of a request fit on workers when victims are
+// stopped. The tasks are alike, so the request fits when enough of them do.
+type stopTrial struct {
+	request Request
+	workers []*WorkerCapacity
+	index   map[string]int // of workers, by ID
+	freed   []crank.Demand // by stopped victims, for each worker
+	counts  []int          // tasks that fit, for each worker
+	total   int
+}
+
+func newStopTrial(workers []*WorkerCapacity, q Request) *stopTrial {
+	t := &stopTrial{request: q, workers: workers, index: make(map[string]int, len(workers)), freed: make([]crank.Demand, len(workers)), counts: make([]int, len(workers))}
+	for i, w := range workers {
+		t.index[w.Worker] = i
+		t.recount(i)
+	}
+	return t
+}
+
+func (t *stopTrial) recount(i int) {
+	n := t.workers[i].fitCount(t.request, FutureCapacity, t.freed[i], t.request.Tasks)
+	t.total += n - t.counts[i]
+	t.counts[i] = n
+}
+
+func (t *stopTrial) fits() bool { return t.total >= t.request.Tasks }
+
+func (t *stopTrial) stop(v Victim) {
+	for _, part := range v.Parts {
+		if i, ok := t.index[part.Worker]; ok {
+			t.freed[i] = t.freed[i].Plus(part.Demand)
+			t.recount(i)
 		}
 	}
-	trial := make([]*WorkerCapacity, len(workers))
-	for i, w := range workers {
-		c := *w
-		c.Future = c.Future.Plus(freed[w.Worker])
-		trial[i] = &c
+}
+
+func (t *stopTrial) resume(v Victim) {
+	for _, part := range v.Parts {
+		if i, ok := t.index[part.Worker]; ok {
+			t.freed[i] = t.freed[i].Minus(part.Demand)
+			t.recount(i)
+		}
 	}
-	return placeBestFit(trial, q, FutureCapacity) != nil
 }
 
-// prune drops victims that are not needed, trying the most expensive first.
-func prune(workers []*WorkerCapacity, q Request, chosen []Victim) []Victim {
+// prune drops stopped victims that are not needed, trying the most expensive first.
+func (t *stopTrial) prune(chosen []Victim) []Victim {
 	slices.SortStableFunc(chosen, func(a, b Victim) int { return cmp.Compare(b.Cost, a.Cost) })
-	for i := 0; i < len(chosen); {
-		rest := slices.Delete(slices.Clone(chosen), i, i+1)
-		if fitsAfterPreempting(workers, q, rest) {
-			chosen = rest
+	var needed []Victim
+	for _, v := range chosen {
+		t.resume(v)
+		if t.fits() {
 			continue
 		}
-		i++
+		t.stop(v)
+		needed = append(needed, v)
 	}
-	return chosen
+	return needed
 }
 
 func totalCost(victims []Victim) float64 {
--- a/internal/crankrelay/store.go
+++ b/internal/crankrelay/store.go
@@ -20,10 +20,11 @@
 
 // StoreConfig holds the settings and dependencies of a Store.
 type StoreConfig struct {
-	Primary crank.Store        // the platform's store, called directly
-	Peers   func() []StorePeer // other instances, the preferred one first
-	Logger  *slog.Logger
-	Scope   tally.Scope
+	Primary   crank.Store        // the platform's store, called directly
+	Peers     func() []StorePeer // other instances, the preferred one first
+	Instances func() int         // that share the store
+	Logger    *slog.Logger
+	Scope     tally.Scope
 }
 
 // Limits of fallback calls.
@@ -43,13 +44,20 @@
 	primaryDown      bool
 	preferPeersUntil time.Time            // peers are called first until then
 	backoffUntil     map[string]time.Time // by peer ID; not called before then
+	circuits         map[callKind]*circuit
+}
+
+// callKind is a group of calls that the store refuses or answers together.
+type callKind struct {
+	topic    crank.Topic
+	isAppend bool
 }
 
 var _ crank.Store = (*Store)(nil)
 
 // NewStore returns a store that calls the primary first.
 func NewStore(c StoreConfig) *Store {
-	return &Store{StoreConfig: c, backoffUntil: make(map[string]time.Time)}
+	return &Store{StoreConfig: c, backoffUntil: make(map[string]time.Time), circuits: make(map[callKind]*circuit)}
 }
 
 // path is one way to call the store.
@@ -76,7 +84,7 @@
 
 // Append implements crank.Store.
 func (s *Store) Append(ctx context.Context, a crank.StoreAppend) (crank.Offset, error) {
-	r := s.tryPaths(ctx, 0, func(ctx context.Context, p path, _ bool) reply {
+	r := s.callStore(ctx, callKind{a.Topic, true}, 0, func(ctx context.Context, p path, _ bool) reply {
 		end, err := p.store.Append(ctx, a)
 		return reply{path: p, batch: crank.KeyedBatch{End: end}, err: err}
 	})
@@ -85,7 +93,7 @@
 
 // Read implements crank.Store. Only the first path waits for a record.
 func (s *Store) Read(ctx context.Context, topic crank.Topic, from crank.Offset, wait time.Duration) (crank.KeyedBatch, error) {
-	r := s.tryPaths(ctx, wait, func(ctx context.Context, p path, first bool) reply {
+	r := s.callStore(ctx, callKind{topic, false}, wait, func(ctx context.Context, p path, first bool) reply {
 		pathWait := wait
 		if !first {
 			pathWait = 0
@@ -98,13 +106,42 @@
 
 // Newest implements crank.Store.
 func (s *Store) Newest(ctx context.Context, topic crank.Topic) (crank.KeyedBatch, error) {
-	r := s.tryPaths(ctx, 0, func(ctx context.Context, p path, _ bool) reply {
+	r := s.callStore(ctx, callKind{topic, false}, 0, func(ctx context.Context, p path, _ bool) reply {
 		batch, err := p.store.Newest(ctx, topic)
 		return reply{path: p, batch: batch, err: err}
 	})
 	return r.batch, r.err
 }
 
+// callStore makes a call unless the store refused such calls on every path just now.
+func (s *Store) callStore(ctx context.Context, k callKind, wait time.Duration, call func(ctx context.Context, p path, first bool) reply) reply {
+	c := s.circuit(k)
+	interval := probeInterval(s.Instances())
+	if !c.allow(time.Now(), interval) {
+		return reply{err: crank.Fail("store call", crank.KindUnavailable, "the store refused the calls before")}
+	}
+	r := s.tryPaths(ctx, wait, call)
+	refused := r.retryable() && crank.KindOf(r.err) == crank.KindUnavailable
+	if r.retryable() && !refused && c.isOpen() {
+		return r // still unknown whether the store is back
+	}
+	if c.record(refused, time.Now(), interval) {
+		s.Logger.Info("relay: circuit changed", "topic", k.topic, "append", k.isAppend, "open", refused, "interval", interval, "error", r.err)
+	}
+	return r
+}
+
+func (s *Store) circuit(k callKind) *circuit {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := s.circuits[k]
+	if c == nil {
+		c = new(circuit)
+		s.circuits[k] = c
+	}
+	return c
+}
+
 // tryPaths makes a call on one path after another until the store answers. It
 // adds a path when one fails or does not answer within hedgeDelay. The error is
 // of KindUnavailable only if the call certainly had no effect on any path.
@@ -227,16 +264,19 @@
 
 type primaryStore struct{ s *Store }
 
-func (p primaryStore) refuse(op string) error {
-	if !p.s.prefersPeers() {
-		return nil
+func (p primaryStore) refuse(op string, k callKind) error {
+	if p.s.prefersPeers() {
+		return crank.Fail(op, crank.KindUnavailable, "this instance does not reach the store itself")
+	}
+	if p.s.circuit(k).isOpen() {
+		return crank.Fail(op, crank.KindUnavailable, "the store refuses this instance's calls too")
 	}
-	return crank.Fail(op, crank.KindUnavailable, "this instance does not reach the store itself")
+	return nil
 }
 
 // Append implements crank.Store.
 func (p primaryStore) Append(ctx context.Context, a crank.StoreAppend) (crank.Offset, error) {
-	if err := p.refuse("store append"); err != nil {
+	if err := p.refuse("store append", callKind{a.Topic, true}); err != nil {
 		return 0, err
 	}
 	return p.s.Primary.Append(ctx, a)
@@ -244,7 +284,7 @@
 
 // Read implements crank.Store.
 func (p primaryStore) Read(ctx context.Context, topic crank.Topic, from crank.Offset, wait time.Duration) (crank.KeyedBatch, error) {
-	if err := p.refuse("store read"); err != nil {
+	if err := p.refuse("store read", callKind{topic, false}); err != nil {
 		return crank.KeyedBatch{}, err
 	}
 	return p.s.Primary.Read(ctx, topic, from, wait)
@@ -252,7 +292,7 @@
 
 // Newest implements crank.Store.
 func (p primaryStore) Newest(ctx context.Context, topic crank.Topic) (crank.KeyedBatch, error) {
-	if err := p.refuse("store newest"); err != nil {
+	if err := p.refuse("store newest", callKind{topic, false}); err != nil {
 		return crank.KeyedBatch{}, err
 	}
 	return p.s.Primary.Newest(ctx, topic)
--- a/internal/crankrelay/store_test.go
+++ b/internal/crankrelay/store_test.go
@@ -74,7 +74,8 @@
 
 func newStore(primary *scriptedStore, peers ...*scriptedStore) *Store {
 	return NewStore(StoreConfig{
-		Primary: primary, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+		Instances: func() int { return 2 },
+		Primary:   primary, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 		Peers: func() []StorePeer {
 			var p []StorePeer
 			for i, store := range peers {
@@ -138,7 +139,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		s := NewStore(StoreConfig{
-			Primary: &uncancellableStore{}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
+			Instances: func() int { return 2 },
+			Primary:   &uncancellableStore{}, Logger: slog.New(slog.DiscardHandler), Scope: tally.NoopScope,
 			Peers: func() []StorePeer { return []StorePeer{{ID: "a", Store: &lateRefusal{}}} },
 		})
 		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
--- a/internal/cranksched/bench_test.go
+++ b/internal/cranksched/bench_test.go
@@ -70,3 +70,45 @@
 		})
 	}
 }
+
+// invalidTerm keeps a scheduler from sending orders.
+type invalidTerm struct{}
+
+// Valid implements Leadership.
+func (invalidTerm) Valid() bool { return false }
+
+// Resign implements Leadership.
+func (invalidTerm) Resign(string) {}
+
+// BenchmarkOverloadedRound measures a planning round in a burst: patient tasks fill all
+// workers, and most of the waiting urgent gangs find too little to preempt on one rack.
+func BenchmarkOverloadedRound(b *testing.B) {
+	const workers, racks, gangs = 370, 19, 60
+	for b.Loop() {
+		b.StopTimer()
+		logger := slog.New(slog.DiscardHandler)
+		s := New(Config{Term: 1, Leadership: invalidTerm{}, Operator: crankoperator.New(nil, logger), Jobs: crankjobs.New(logger), Logger: logger, Scope: tally.NoopScope})
+		for i := range workers {
+			e := crank.WorkerEntry{
+				ID: fmt.Sprintf("w%04d", i), Pool: "desk", Zone: fmt.Sprintf("z%d", i%racks%6), Rack: fmt.Sprintf("r%d", i%racks),
+				Capacity: crank.Demand{MilliCores: 32000, MemoryMiB: 131072, Accelerators: 8},
+			}
+			w := &worker{entry: e, incarnation: crankfleet.Incarnation(e), answered: true, placements: make(map[crank.TaskID]*placement)}
+			s.workers[e.ID], s.roster[w.incarnation] = w, true
+		}
+		busy := s.benchJob("running", 8*workers, crank.Demand{MilliCores: 2800, MemoryMiB: 11000, Accelerators: 1})
+		for i, t := range busy.tasks {
+			w := s.workers[fmt.Sprintf("w%04d", i%workers)]
+			t.placement = &placement{id: t.id, task: t, worker: w, run: 1, demand: t.step.ReservedCapacity(), step: t.step, stepKey: "running", state: stateRunning, startedAt: time.Now()}
+			w.placements[t.id] = t.placement
+			busy.placed++
+		}
+		for i := range gangs {
+			j := s.benchJob(fmt.Sprintf("urgent%d", i), 12+i%9, crank.Demand{MilliCores: 3700, MemoryMiB: 20000, Accelerators: 8})
+			j.spec.Priority = 0
+			j.spec.Steps[0].Gang, j.spec.Steps[0].SameRack = true, true
+		}
+		b.StartTimer()
+		s.round()
+	}
+}
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -27,15 +27,16 @@
 	pools := s.pools(operator.EvacuatedZones, now)
 	units := s.waitingUnits(now)
 	reservations := make(map[string]int)
+	known := newPreemptions()
 	for _, u := range units {
 		pool := pools[u.job.spec.Pool]
 		if pool == nil {
 			continue
 		}
 		if u.step.Gang {
-			s.placeGang(u, pool, reservations, now)
+			s.placeGang(u, pool, reservations, known, now)
 		} else {
-			s.placeTasks(u, pool, now)
+			s.placeTasks(u, pool, known, now)
 		}
 	}
 }
@@ -107,7 +108,7 @@
 // for capacity that is being freed, preempts other work, is placed on several racks
 // if it is guaranteed, or reserves capacity. A SameRack gang too large for any empty
 // rack is placed on several.
-func (s *Scheduler) placeGang(u unit, pool *crankpack.Pool, reservations map[string]int, now time.Time) {
+func (s *Scheduler) placeGang(u unit, pool *crankpack.Pool, reservations map[string]int, known *preemptions, now time.Time) {
 	q := u.request(u.tasks, now)
 	place := pool.Place
 	if u.step.SameRack && pool.Place(q, crankpack.TotalCapacity) == nil {
@@ -122,14 +123,14 @@
 		allocate(chosen, q)
 		return
 	}
-	if u.mayPreempt() && s.preempt(u, pool, q) {
+	if u.mayPreempt() && s.preempt(u, pool, q, known) {
 		if chosen := place(q, crankpack.FutureCapacity); chosen != nil {
 			allocate(chosen, q)
 		}
 		return
 	}
 	if u.rank == rankGuaranteed && u.step.SameRack && now.Sub(u.waitingSince) > crossRackWait {
-		s.placeGangAcrossRacks(u, pool, q)
+		s.placeGangAcrossRacks(u, pool, q, known)
 		return
 	}
 	if now.Sub(u.waitingSince) > reservationWait && u.rank != rankLate && reservations[u.job.spec.Pool] < maxReservations {
@@ -142,13 +143,13 @@
 
 // placeGangAcrossRacks places a guaranteed gang on several racks: the guarantee
 // matters more than the time that its tasks lose there.
-func (s *Scheduler) placeGangAcrossRacks(u unit, pool *crankpack.Pool, q crankpack.Request) {
+func (s *Scheduler) placeGangAcrossRacks(u unit, pool *crankpack.Pool, q crankpack.Request, known *preemptions) {
 	q.Step.SameRack = false
 	if chosen := pool.PlaceAcrossRacks(q, crankpack.FreeCapacity); chosen != nil {
 		s.allocateAndStart(u.tasks, chosen, q)
 		return
 	}
-	if pool.PlaceAcrossRacks(q, crankpack.FutureCapacity) == nil && !s.preempt(u, pool, q) {
+	if pool.PlaceAcrossRacks(q, crankpack.FutureCapacity) == nil && !s.preempt(u, pool, q, known) {
 		return
 	}
 	if chosen := pool.PlaceAcrossRacks(q, crankpack.FutureCapacity); chosen != nil {
@@ -158,7 +159,7 @@
 
 // placeTasks starts the tasks of a step that fit now. For others it waits for
 // capacity that is being freed, or preempts other work.
-func (s *Scheduler) placeTasks(u unit, pool *crankpack.Pool, now time.Time) {
+func (s *Scheduler) placeTasks(u unit, pool *crankpack.Pool, known *preemptions, now time.Time) {
 	noCapacity := false
 	for _, t := range u.tasks {
 		one := []*task{t}
@@ -174,7 +175,7 @@
 			allocate(chosen, q)
 			continue
 		}
-		if u.mayPreempt() && s.preempt(u, pool, q) {
+		if u.mayPreempt() && s.preempt(u, pool, q, known) {
 			if chosen := pool.Place(q, crankpack.FutureCapacity); chosen != nil {
 				allocate(chosen, q)
 			}
--- a/internal/cranksched/victim.go
+++ b/internal/cranksched/victim.go
@@ -6,15 +6,47 @@
 	"cranberrycrank/internal/crankpack"
 )
 
+// preemptions caches what is known about preemption during one planning round, in which
+// what can be freed only shrinks.
+type preemptions struct {
+	victims map[victimScope]victimSet // until work is preempted
+	failed  map[preemptClass]int      // fewest tasks for which too little could be freed
+}
+
+// victimScope is all of a unit that decides what it may preempt.
+type victimScope struct {
+	pool          string
+	priority      int
+	guaranteed    bool
+	includeUrgent bool
+}
+
+// preemptClass is a group of requests that fail together.
+type preemptClass struct {
+	victimScope
+	crankpack.RequestClass
+}
+
+// victimSet is the work that units of one scope may preempt, and one run of each
+// victim.
+type victimSet struct {
+	index crankpack.VictimIndex
+	runs  []*placement
+}
+
+func newPreemptions() *preemptions {
+	return &preemptions{victims: make(map[victimScope]victimSet), failed: make(map[preemptClass]int)}
+}
+
 // preempt stops the cheapest work that frees enough for a request, and reports
 // whether there was any. A guaranteed unit also preempts urgent work of workspaces
 // beyond their guarantee, but only where lower priorities don't free enough.
-func (s *Scheduler) preempt(u unit, pool *crankpack.Pool, q crankpack.Request) bool {
-	victims, runs := s.victims(u, false)
-	chosen := pool.Preempt(q, victims)
-	if chosen == nil && u.rank == rankGuaranteed {
-		victims, runs = s.victims(u, true)
-		chosen = pool.Preempt(q, victims)
+func (s *Scheduler) preempt(u unit, pool *crankpack.Pool, q crankpack.Request, known *preemptions) bool {
+	scope := victimScope{pool: u.job.spec.Pool, priority: u.job.spec.Priority, guaranteed: u.rank == rankGuaranteed}
+	chosen, runs := s.chooseVictims(u, pool, q, known, scope)
+	if chosen == nil && scope.guaranteed {
+		scope.includeUrgent = true
+		chosen, runs = s.chooseVictims(u, pool, q, known, scope)
 	}
 	if chosen == nil {
 		return false
@@ -24,6 +56,7 @@
 		workers[c.Worker] = c
 	}
 	pool.ClearUnplaceable()
+	clear(known.victims)
 	for _, v := range chosen {
 		for _, part := range v.Parts {
 			workers[part.Worker].Future = workers[part.Worker].Future.Plus(part.Demand)
@@ -37,6 +70,26 @@
 	return true
 }
 
+// chooseVictims returns the victims of one scope for a request, and one run of each.
+func (s *Scheduler) chooseVictims(u unit, pool *crankpack.Pool, q crankpack.Request, known *preemptions, scope victimScope) ([]crankpack.Victim, []*placement) {
+	class, cacheable := crankpack.ClassOf(q)
+	key := preemptClass{scope, class}
+	if fewest, ok := known.failed[key]; ok && cacheable && q.Tasks >= fewest {
+		return nil, nil
+	}
+	set, ok := known.victims[scope]
+	if !ok {
+		victims, runs := s.victims(u, scope.includeUrgent)
+		set = victimSet{crankpack.NewVictimIndex(victims), runs}
+		known.victims[scope] = set
+	}
+	chosen := pool.Preempt(q, set.index)
+	if chosen == nil && cacheable {
+		known.failed[key] = q.Tasks
+	}
+	return chosen, set.runs
+}
+
 // victims returns the work that a unit may preempt, and one run of each victim. With
 // includeUrgent, that includes priority 0 work of workspaces beyond their guarantee.
 func (s *Scheduler) victims(u unit, includeUrgent bool) ([]crankpack.Victim, []*placement) {
