Hedges follow the usual answer time; a slow leader yields its term

After a zone's return every load of the job topic took longer than 400 ms, was started on two more paths, and reads were given up after one second while the store's queue may hold two: the store worked for callers that had gone, and no read succeeded again for 30 s. Change: a call is tried on another path after three times the usual answer time (400 ms to 2 s; loads of a topic after 2 s), and a follower waits 3 s after two failures in a row.

Change: the planner counts the ticks that it handles; below 35 % of a second's ticks it gives the term up in favour of another instance, at most every 15 s.

The test of yielding fails without it; one more guards against terms that move when all instances are slow.

--- a/internal/crankfeed/follower.go
+++ b/internal/crankfeed/follower.go
@@ -36,18 +36,21 @@
 // records.
 type Follower struct {
 	FollowerConfig
-	next    crank.Offset
-	loaded  bool
-	failing bool // the last read failed
+	next     crank.Offset
+	loaded   bool
+	failing  bool // the last read failed
+	failures int  // in a row
 }
 
 // NewFollower returns a follower that has read nothing.
 func NewFollower(c FollowerConfig) *Follower { return &Follower{FollowerConfig: c} }
 
 const (
-	readTimeout = 1 * time.Second        // of one read, beyond its wait
-	loadTimeout = 5 * time.Second        // of loading the newest records
-	retryDelay  = 100 * time.Millisecond // after a failed read
+	readTimeout     = 1 * time.Second        // of one read, beyond its wait
+	longReadTimeout = 3 * time.Second        // after several failures: an overloaded store answers within it
+	shortReads      = 2                      // failures in a row before longReadTimeout applies
+	loadTimeout     = 10 * time.Second       // of loading the newest records
+	retryDelay      = 100 * time.Millisecond // after a failed read
 )
 
 // Run follows the topic until the context ends.
@@ -60,9 +63,11 @@
 		}
 		f.logTransition(err)
 		if err != nil {
+			f.failures++
 			Sleep(ctx, retryDelay)
 			continue
 		}
+		f.failures = 0
 		if f.MinInterval != nil {
 			sleep(ctx, f.MinInterval()-time.Since(begun), f.Wake)
 		}
@@ -91,7 +96,11 @@
 	if f.Wait != nil && !f.failing {
 		wait = f.Wait()
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+readTimeout)
+	timeout := readTimeout
+	if f.failures >= shortReads {
+		timeout = longReadTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+timeout)
 	defer cancel()
 	batch, err := f.Store.Read(callCtx, f.Topic, f.next, wait)
 	if err != nil {
--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -36,6 +36,8 @@
 	maxReadGap       = 600 * time.Millisecond  // from one read to what the next one covers, while reads succeed
 	maxReadAge       = 2 * time.Second         // of the topic, for a claim
 	callTimeout      = 1 * time.Second         // of one append
+	yieldPeriod      = 15 * time.Second        // between two terms that end because their holder is too slow
+	yieldDelay       = 1 * time.Second         // extra delay of a claim by an instance that yielded within yieldPeriod
 
 	// GracePeriod is how long a holder keeps working without reaching the store.
 	// A successor waits as long before it gives up on unreachable workers.
@@ -61,7 +63,8 @@
 // releaseRecord gives a term up. It has its own key, since a late release must
 // not replace a newer claim.
 type releaseRecord struct {
-	Term int64 `json:"term"`
+	Term    int64 `json:"term"`
+	Yielded bool  `json:"yielded,omitempty"` // the holder was too slow
 }
 
 type heartbeatRecord struct {
@@ -96,6 +99,11 @@
 // Resign gives the term up on evidence that another instance holds a newer one.
 func (h *HeldTerm) Resign(reason string) { h.elector.resign(h.Number, reason) }
 
+// Yield gives the term up in favour of another instance, which claims it as after a
+// shutdown. It does nothing within yieldPeriod of the last time that any holder did, so
+// that a load that is too much for all does not move the term on and on.
+func (h *HeldTerm) Yield(reason string) bool { return h.elector.yield(h.Number, reason) }
+
 // Elector follows the term topic and runs Lead while this instance holds the
 // term.
 type Elector struct {
@@ -113,6 +121,9 @@
 	lastRead     time.Time // when the topic was last read to its end
 	resignedTerm int64     // this instance does not hold this term or an older one again
 	releasedTerm int64     // newest term that was released
+	yieldingTerm int64     // this instance releases this term because it is too slow
+	yieldedAt    time.Time // when a holder last yielded
+	yieldedHere  time.Time // when this instance last did
 	changed      chan struct{}
 }
 
@@ -169,6 +180,9 @@
 	}
 	e.Logger.Info("lead: term release read", "term", rel.Term, "offset", r.Offset, "newest", e.term.Number)
 	e.releasedTerm = max(e.releasedTerm, rel.Term)
+	if rel.Yielded {
+		e.yieldedAt = time.Now()
+	}
 	e.notify()
 }
 
@@ -224,6 +238,33 @@
 	e.notify()
 }
 
+func (e *Elector) yield(number int64, reason string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if number <= e.yieldingTerm || (!e.yieldedAt.IsZero() && time.Since(e.yieldedAt) < yieldPeriod) {
+		return false
+	}
+	now := time.Now()
+	e.yieldingTerm, e.yieldedAt, e.yieldedHere = number, now, now
+	e.Logger.Warn("lead: yielding", "term", number, "reason", reason)
+	e.notify()
+	return true
+}
+
+// yields reports whether this instance gives a term up because it is too slow.
+func (e *Elector) yields(number int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return number == e.yieldingTerm
+}
+
+// yieldedRecently reports whether this instance yielded within yieldPeriod.
+func (e *Elector) yieldedRecently() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.yieldedHere.IsZero() && time.Since(e.yieldedHere) < yieldPeriod
+}
+
 // Term returns the newest term that was read.
 func (e *Elector) Term() Term {
 	e.mu.Lock()
@@ -308,6 +349,9 @@
 // claimTimeout to read it back, which tells whether it was stored.
 func (e *Elector) claim(ctx context.Context, next Term, at crank.Offset) {
 	jitter := max(minClaimJitter, time.Duration(e.Instances())*claimShare)
+	if e.yieldedRecently() {
+		crankfeed.Sleep(ctx, yieldDelay)
+	}
 	crankfeed.Sleep(ctx, mathrand.N(jitter)+time.Duration(float64(lowShareDelay)*(1-min(1, e.ProcessorShare))))
 	again, end, ok := e.nextClaim()
 	if !ok || again != next || end != at {
@@ -346,7 +390,7 @@
 	count := int64(0)
 	heartbeats := make(chan struct{}, maxHeartbeats) // holds a token for each one without an answer
 	for {
-		if held, ok := e.holdsTerm(); !ok || held != number || ctx.Err() != nil {
+		if held, ok := e.holdsTerm(); !ok || held != number || ctx.Err() != nil || e.yields(number) {
 			break
 		}
 		select {
@@ -369,7 +413,7 @@
 	stop()
 	<-done
 	e.Logger.Info("lead: term ends", "term", number, "newest", e.Term().Number, "stopping", ctx.Err() != nil)
-	if ctx.Err() != nil {
+	if ctx.Err() != nil || e.yields(number) {
 		e.release(context.WithoutCancel(ctx), number)
 	}
 }
@@ -379,9 +423,12 @@
 	if held, ok := e.holdsTerm(); !ok || held != number {
 		return
 	}
-	if err := e.append(ctx, releaseKey, releaseRecord{Term: number}, crank.AnyOffset); err != nil {
+	if err := e.append(ctx, releaseKey, releaseRecord{Term: number, Yielded: e.yields(number)}, crank.AnyOffset); err != nil {
 		e.Logger.Warn("lead: term release failed", "term", number, "error", err)
 	}
+	if e.yields(number) {
+		e.resign(number, "it was yielded")
+	}
 }
 
 func (e *Elector) append(ctx context.Context, key string, v any, at crank.Offset) error {
--- a/internal/crankrelay/store.go
+++ b/internal/crankrelay/store.go
@@ -29,9 +29,8 @@
 
 // Limits of fallback calls.
 const (
-	hedgeDelay  = 400 * time.Millisecond // time without an answer until the next path is tried too; a slow store answers within it
-	peerBackoff = 1 * time.Second        // time until a failed peer is called again
-	maxPaths    = 3                      // paths that one call tries
+	peerBackoff = 1 * time.Second // time until a failed peer is called again
+	maxPaths    = 3               // paths that one call tries
 )
 
 // Store is a crank.Store that falls back to peers while this instance can't reach
@@ -45,6 +44,8 @@
 	preferPeersUntil time.Time            // peers are called first until then
 	backoffUntil     map[string]time.Time // by peer ID; not called before then
 	circuits         map[callKind]*circuit
+	appendTime       answerTime
+	readTime         answerTime // of reads, beyond their wait
 }
 
 // callKind is a group of calls that the store refuses or answers together.
@@ -70,6 +71,7 @@
 	path
 	batch crank.KeyedBatch
 	err   error
+	took  time.Duration
 }
 
 // retryable reports whether another path may succeed.
@@ -84,16 +86,19 @@
 
 // Append implements crank.Store.
 func (s *Store) Append(ctx context.Context, a crank.StoreAppend) (crank.Offset, error) {
-	r := s.callStore(ctx, callKind{a.Topic, true}, 0, func(ctx context.Context, p path, _ bool) reply {
+	r := s.callStore(ctx, callKind{a.Topic, true}, s.appendTime.hedge(), func(ctx context.Context, p path, _ bool) reply {
 		end, err := p.store.Append(ctx, a)
 		return reply{path: p, batch: crank.KeyedBatch{End: end}, err: err}
 	})
+	if r.err == nil {
+		s.appendTime.add(r.took)
+	}
 	return r.batch.End, r.err
 }
 
 // Read implements crank.Store. Only the first path waits for a record.
 func (s *Store) Read(ctx context.Context, topic crank.Topic, from crank.Offset, wait time.Duration) (crank.KeyedBatch, error) {
-	r := s.callStore(ctx, callKind{topic, false}, wait, func(ctx context.Context, p path, first bool) reply {
+	r := s.callStore(ctx, callKind{topic, false}, wait+s.readTime.hedge(), func(ctx context.Context, p path, first bool) reply {
 		pathWait := wait
 		if !first {
 			pathWait = 0
@@ -101,12 +106,15 @@
 		batch, err := p.store.Read(ctx, topic, from, pathWait)
 		return reply{path: p, batch: batch, err: err}
 	})
+	if r.err == nil && (r.took > wait || wait == 0) {
+		s.readTime.add(r.took - wait)
+	}
 	return r.batch, r.err
 }
 
 // Newest implements crank.Store.
 func (s *Store) Newest(ctx context.Context, topic crank.Topic) (crank.KeyedBatch, error) {
-	r := s.callStore(ctx, callKind{topic, false}, 0, func(ctx context.Context, p path, _ bool) reply {
+	r := s.callStore(ctx, callKind{topic, false}, maxHedgeDelay, func(ctx context.Context, p path, _ bool) reply {
 		batch, err := p.store.Newest(ctx, topic)
 		return reply{path: p, batch: batch, err: err}
 	})
@@ -114,13 +122,13 @@
 }
 
 // callStore makes a call unless the store refused such calls on every path just now.
-func (s *Store) callStore(ctx context.Context, k callKind, wait time.Duration, call func(ctx context.Context, p path, first bool) reply) reply {
+func (s *Store) callStore(ctx context.Context, k callKind, hedge time.Duration, call func(ctx context.Context, p path, first bool) reply) reply {
 	c := s.circuit(k)
 	interval := probeInterval(s.Instances())
 	if !c.allow(time.Now(), interval) {
 		return reply{err: crank.Fail("store call", crank.KindUnavailable, "the store refused the calls before")}
 	}
-	r := s.tryPaths(ctx, wait, call)
+	r := s.tryPaths(ctx, hedge, call)
 	refused := r.retryable() && crank.KindOf(r.err) == crank.KindUnavailable
 	if r.retryable() && !refused && c.isOpen() {
 		return r // still unknown whether the store is back
@@ -143,9 +151,9 @@
 }
 
 // tryPaths makes a call on one path after another until the store answers. It
-// adds a path when one fails or does not answer within hedgeDelay. The error is
+// adds a path when one fails or does not answer within the hedge delay. The error is
 // of KindUnavailable only if the call certainly had no effect on any path.
-func (s *Store) tryPaths(ctx context.Context, wait time.Duration, call func(ctx context.Context, p path, first bool) reply) reply {
+func (s *Store) tryPaths(ctx context.Context, hedge time.Duration, call func(ctx context.Context, p path, first bool) reply) reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan reply, maxPaths)
@@ -159,10 +167,15 @@
 		first := len(tried) == 0
 		tried[p.peer] = true
 		pending++
-		go func() { replies <- call(ctx, p, first) }()
+		go func() {
+			begun := time.Now()
+			r := call(ctx, p, first)
+			r.took = time.Since(begun)
+			replies <- r
+		}()
 	}
 	launch()
-	timer := time.NewTimer(wait + hedgeDelay)
+	timer := time.NewTimer(hedge)
 	defer timer.Stop()
 	uncertain := false
 	var failure reply // first one received
@@ -191,7 +204,7 @@
 			}
 		case <-timer.C:
 			launch()
-			timer.Reset(hedgeDelay)
+			timer.Reset(hedge)
 		}
 	}
 }
--- a/internal/cranksched/bench_test.go
+++ b/internal/cranksched/bench_test.go
@@ -80,6 +80,9 @@
 // Resign implements Leadership.
 func (invalidTerm) Resign(string) {}
 
+// Yield implements Leadership.
+func (invalidTerm) Yield(string) bool { return false }
+
 // BenchmarkOverloadedRound measures a planning round in a burst: patient tasks fill all
 // workers, and most of the waiting urgent gangs find too little to preempt on one rack.
 func BenchmarkOverloadedRound(b *testing.B) {
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -46,6 +46,9 @@
 	Valid() bool
 	// Resign gives the term up.
 	Resign(reason string)
+	// Yield gives the term up in favour of another instance, unless that happened not
+	// long ago, and reports whether it did.
+	Yield(reason string) bool
 }
 
 // Config holds the settings and dependencies of a Scheduler.
@@ -117,7 +120,9 @@
 	submitting        map[string]*submission   // by job ID
 	endPhases         map[string]crank.Phase   // of jobs whose end is stored
 	endWaiters        map[string][]chan crank.Phase
-	knownEnd          crank.Offset  // all records of the job topic before it were read or are this planner's
+	knownEnd          crank.Offset // all records of the job topic before it were read or are this planner's
+	begunAt           time.Time    // when the term was taken over
+	pace              paceMeter
 	tookOver          chan struct{} // closed once Submit and AwaitEnd may be called
 
 	nextGaugeUpdate time.Time
@@ -164,6 +169,7 @@
 		Store: s.Store, Topic: crank.WorkerTopic, Logger: s.Logger, MinInterval: crankfeed.Constant(crankfleet.ListPeriod), Sink: s.list,
 	})
 	go s.writer.Run(ctx)
+	s.begunAt = time.Now()
 	close(s.tookOver)
 	go feed.Run(ctx)
 	ticker := time.NewTicker(tick)
@@ -178,6 +184,7 @@
 		case <-changed:
 		case <-ticker.C:
 			s.changed = true
+			s.checkPace(time.Now())
 		case <-ctx.Done():
 			return
 		}
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -49,6 +49,7 @@
 	unreachable   map[string]bool // workers that no call reaches
 	silent        map[string]bool // workers whose heartbeats have stopped
 	workerEntries map[string]crank.WorkerEntry
+	logDelay      map[string]time.Duration // of each log line of a caller's planner, which slows it down
 	workerFaults  func(caller, worker, call string) crankfakefleet.Fault
 	storeFaults   func(caller, call string) crankfakestore.Fault
 	incarnations  int
@@ -70,7 +71,7 @@
 		c := &cluster{
 			t: t, store: crankfakestore.New(), started: time.Now(), key: guaranteedKey, jobs: make(map[string]crank.StepJob),
 			running: make(map[string]*instance), dead: make(map[string]bool), storeCut: make(map[string]bool), peersCut: make(map[string]bool),
-			unreachable: make(map[string]bool), silent: make(map[string]bool), workerEntries: make(map[string]crank.WorkerEntry),
+			logDelay: make(map[string]time.Duration), unreachable: make(map[string]bool), silent: make(map[string]bool), workerEntries: make(map[string]crank.WorkerEntry),
 		}
 		c.store.SetFaults(c.chooseStoreFault)
 		c.fleet = crankfakefleet.New(crankfakefleet.Config{
@@ -214,6 +215,28 @@
 // logOutput receives the logs of all instances; replace it to debug a test.
 var logOutput io.Writer = io.Discard
 
+// slowHandler delays the planner's log lines of a caller by what the cluster says.
+type slowHandler struct {
+	slog.Handler
+	c      *cluster
+	caller string
+}
+
+// Handle implements slog.Handler.
+func (h slowHandler) Handle(ctx context.Context, r slog.Record) error {
+	var delay time.Duration
+	if strings.HasPrefix(r.Message, "sched:") { // logged by the planner's goroutine, which holds no lock
+		h.c.update(func() { delay = h.c.logDelay[h.caller] })
+	}
+	time.Sleep(delay)
+	return h.Handler.Handle(ctx, r)
+}
+
+// WithAttrs implements slog.Handler.
+func (h slowHandler) WithAttrs(attrs []slog.Attr) slog.Handler {
+	return slowHandler{h.Handler.WithAttrs(attrs), h.c, h.caller}
+}
+
 // start starts a new incarnation of an instance.
 func (c *cluster) start(name string) {
 	c.update(func() { c.incarnations++ })
@@ -224,7 +247,7 @@
 		Instance: name, Zone: name, PeerAddr: name, Peers: peerDialer{c, caller}, Leaders: peerDialer{c, caller}, Store: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
 		DecodeWorker: crankfakefleet.Decode, DecodeOperator: decodeOperator, Bounds: leaseBounds, ResultRetention: 2 * time.Minute, ProcessorShare: 0.8,
 		Uptime: func() time.Duration { return time.Since(c.started) },
-		Logger: slog.New(slog.NewTextHandler(logOutput, nil)).With("instance", caller), Scope: tally.NoopScope,
+		Logger: slog.New(slowHandler{slog.NewTextHandler(logOutput, nil), c, caller}).With("instance", caller), Scope: tally.NoopScope,
 	})
 	c.update(func() { c.running[name] = inst })
 	go func() {
