A submission that may be stored is repeated until its caller's deadline

Change: what may have been stored can't be refused, so it is repeated until the deadline; a later success is the answer. Three submissions at one instance are the test, which fails before.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOPLS_VERSION = v0.23.0
 MODULES = . ./cmd ./internal ./pkg ./proofs ./standin
 
-.PHONY: build test race lint format gopls demo measure bench fuzz soak
+.PHONY: build test race lint format gopls demo measure bench fuzz soak regress
 
 build:
 	$(GO) build -o bin/cranberrycrank ./cmd/cranberrycrank
@@ -24,6 +24,10 @@
 format:
 	gofmt -w $(MODULES)
 
+# The users' bench is not part of this repository: make regress BENCH=PATH WHY=TEXT SITES="FILE..."
+regress:
+	scripts/regress $(BENCH) "$(WHY)" $(SITES)
+
 # gopls renames identifiers over all modules: bin/gopls rename -w FILE:LINE:COL NAME
 gopls:
 	GOBIN=$(CURDIR)/bin GOWORK=off $(GO) install golang.org/x/tools/gopls@$(GOPLS_VERSION)
--- a/internal/crankadmission/hold.go
+++ b/internal/crankadmission/hold.go
@@ -39,6 +39,17 @@
 	return Decision{RetryAfter: h.RetryAfter(r, now)}
 }
 
+// AfterUnknown decides about a request of which an attempt may have had an effect. It
+// can't be refused, and only a repeated attempt tells the caller more, so it is repeated
+// as long as the caller waits.
+//
+// Load pattern: the store answers nothing for a second or two, or resets connections,
+// and returns before callers give up.
+func (h Hold) AfterUnknown(r Request, now time.Time) Decision {
+	left := r.Deadline.Sub(now)
+	return Decision{Retry: left > h.RetryDelay, Delay: h.RetryDelay}
+}
+
 // Until returns when the request is refused if it was not stored before.
 func (h Hold) Until(r Request) time.Time {
 	return r.Arrived.Add(time.Duration(h.Share * float64(r.Deadline.Sub(r.Arrived))))
--- a/internal/crankconf/entry_test.go
+++ b/internal/crankconf/entry_test.go
@@ -19,6 +19,7 @@
 
 [platform]
 store = 10.9.0.1:8003
+config-bound = 4000ms
 
 [workers]
 longest-lease = 6000ms
@@ -39,6 +40,7 @@
 	is.NoErr(err)
 	is.Equal(s.LeaseBounds.MaxLease, 6*time.Second)
 	is.Equal(s.ProcessorShare, 0.4)
+	is.Equal(s.ConfigBound, 4*time.Second)
 	is.Equal(s.DrainTimeout, 6*time.Second)
 }
 
@@ -49,7 +51,7 @@
 	text = strings.Replace(text, "[logging]\n", "[logging]\ncolour = red\n", 1)
 	_, err := ParseEntrySettings("entry.ini", text)
 	is.True(err != nil)
-	for _, want := range []string{"entry.ini:11: [platform: store]", "entry.ini:14: [workers: longest-lease]", "[logging: colour]: unknown key"} {
+	for _, want := range []string{"entry.ini:11: [platform: store]", "entry.ini:15: [workers: longest-lease]", "[logging: colour]: unknown key"} {
 		if !strings.Contains(err.Error(), want) {
 			t.Errorf("%q lacks %q", err, want)
 		}
--- a/internal/crankgate/submit.go
+++ b/internal/crankgate/submit.go
@@ -1,11 +1,13 @@
 package crankgate
 
 import (
+	"cmp"
 	"context"
 	"log/slog"
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/internal/crankadmission"
 	"cranberrycrank/internal/crankfeed"
 	"cranberrycrank/internal/crankjobs"
 )
@@ -30,26 +32,44 @@
 	return err
 }
 
-// whileHeld repeats a call that certainly had no effect until the hold policy refuses
-// the request. It routes the request again before each repeat, since the
-// configuration may have changed meanwhile.
+// whileHeld repeats a call until it succeeds. A call that certainly had no effect is
+// repeated until the hold policy refuses the request, one that may have had an effect
+// until the caller's deadline, since it can't be refused truthfully any more. The
+// request is routed again before each repeat: the configuration may have changed.
 func (h *RequestHandler) whileHeld(ctx context.Context, r RoutedRequest, call func(RoutedRequest) error) error {
+	uncertain := false
 	for {
 		err := call(r)
-		if err == nil || crank.KindOf(err) != crank.KindUnavailable || !r.request.Hold {
-			return err
-		}
-		next := hold.After(r.admission(), time.Now())
-		if !next.Retry {
-			return &Refusal{Cause: err, RetryAfter: next.RetryAfter}
+		if err == nil {
+			return nil
 		}
-		crankfeed.Sleep(ctx, next.Delay)
-		if ctx.Err() != nil {
+		next := crankadmission.Decision{}
+		switch kind := crank.KindOf(err); {
+		case kind == crank.KindUnknown:
+			uncertain = true
+			next = hold.AfterUnknown(r.admission(), time.Now())
+		case uncertain:
+			next = hold.AfterUnknown(r.admission(), time.Now())
+		case kind == crank.KindUnavailable:
+			next = hold.After(r.admission(), time.Now())
+		default:
 			return err
 		}
-		if r, err = h.route(ctx, r); err != nil {
-			return err
+		if next.Retry && r.request.Hold {
+			crankfeed.Sleep(ctx, next.Delay)
+			var routeErr error
+			if r, routeErr = h.route(ctx, r); routeErr == nil && ctx.Err() == nil {
+				continue
+			}
+			err = cmp.Or(routeErr, err)
 		}
+		switch {
+		case uncertain:
+			return &crank.Error{Op: "store", Kind: crank.KindUnknown, Cause: err}
+		case crank.KindOf(err) == crank.KindUnavailable:
+			return &Refusal{Cause: err, RetryAfter: next.RetryAfter}
+		}
+		return err
 	}
 }
 
--- /dev/null
+++ b/internal/cranksched/pace_test.go
@@ -0,0 +1,23 @@
+package cranksched
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+func TestPaceMeterNoticesMissedTicks(t *testing.T) {
+	for _, c := range []struct {
+		gap  time.Duration // between handled ticks
+		slow bool
+	}{{tick, false}, {2 * tick, false}, {4 * tick, true}, {10 * tick, true}, {3 * time.Second, true}} {
+		is := is.New(t)
+		var m paceMeter
+		now, slow := time.Unix(1000, 0), false
+		for end := now.Add(6 * time.Second); now.Before(end); now = now.Add(c.gap) {
+			slow = m.tick(now) || slow
+		}
+		is.Equal(slow, c.slow)
+	}
+}
--- a/proofs/crankentryproof/store_outage_test.go
+++ b/proofs/crankentryproof/store_outage_test.go
@@ -100,3 +100,37 @@
 		is.Equal(c.fleet.Runs(), 0)
 	})
 }
+
+// Load pattern: the store stops to answer and returns while the caller still waits. An
+// attempt may have taken effect, so the caller can't be refused; it is accepted as soon
+// as a later attempt is answered.
+func TestCallerIsAcceptedWhenASilentStoreReturnsInTime(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(4)
+		c.update(func() {
+			c.storeFaults = func(_, call string) crankfakestore.Fault { return lostAppend(call) }
+		})
+		caller := c.notLeader()
+		results := make(chan error, 3)
+		for _, id := range []string{"job1", "job2", "job3"} { // the later ones wait behind the first
+			go func() { results <- c.submit(caller, "urgent", id, gangStep(2, 1, time.Second)) }()
+			time.Sleep(400 * time.Millisecond)
+		}
+		time.Sleep(600 * time.Millisecond)
+		clearStoreFaults(c)
+		for range cap(results) {
+			is.NoErr(<-results)
+		}
+		time.Sleep(5 * time.Second)
+		is.Equal(c.fleet.Runs(), 6)
+	})
+}
+
+// lostAppend is the fault of an append that never arrives.
+func lostAppend(call string) crankfakestore.Fault {
+	if call != "append" {
+		return crankfakestore.Fault{}
+	}
+	return crankfakestore.Fault{Delay: time.Hour}
+}
