A lease counts as expired only under a confirmed term

Cause, found by TestWorkersIsolatedWithLeaderAreNotGone when claims became a little faster: a leader that is cut off from the store and from some workers may work on for ten seconds. After nine it took the leases of those workers for expired and started their tasks elsewhere, though its successor had extended them and the tasks had ended: 16 tasks ran twice. The fault is older; the test healed the cut a moment earlier. Change: a lease is over only once the term was read to be the newest one after the lease's end, so no later leader can have extended it.

A claimant reads its claim back at once instead of after up to 400 ms.

--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -96,6 +96,10 @@
 // may still send orders.
 func (h *HeldTerm) Valid() bool { return h.elector.Uptime()-h.elector.lastStoreContact() < GracePeriod }
 
+// ConfirmedAfter reports whether this term was the newest one at some time after t, so
+// that no later holder can have acted before t.
+func (h *HeldTerm) ConfirmedAfter(t time.Time) bool { return h.elector.newestAt(h.Number).After(t) }
+
 // Resign gives the term up on evidence that another instance holds a newer one.
 func (h *HeldTerm) Resign(reason string) { h.elector.resign(h.Number, reason) }
 
@@ -119,19 +123,21 @@
 	storeReached time.Duration // uptime when the store last answered
 	loaded       bool
 	lastRead     time.Time // when the topic was last read to its end
+	currentAt    time.Time // a time at which the topic as last read was current
 	resignedTerm int64     // this instance does not hold this term or an older one again
 	releasedTerm int64     // newest term that was released
 	yieldingTerm int64     // this instance releases this term because it is too slow
 	yieldedAt    time.Time // when a holder last yielded
 	yieldedHere  time.Time // when this instance last did
 	changed      chan struct{}
+	claimed      chan struct{} // ends the pause before the next read, which tells whether a claim was stored
 }
 
 // New returns an elector. It works while Run runs.
 func New(c Config) *Elector {
-	e := &Elector{Config: c, Incarnation: c.Instance + incarnationSeparator + rand.Text(), changed: make(chan struct{}, 1)}
+	e := &Elector{Config: c, Incarnation: c.Instance + incarnationSeparator + rand.Text(), changed: make(chan struct{}, 1), claimed: make(chan struct{}, 1)}
 	e.follower = crankfeed.NewFollower(crankfeed.FollowerConfig{
-		Store: c.Store, Topic: crank.TermTopic, Logger: c.Logger, Wait: crankfeed.Constant(maxReadWait), MinInterval: crankfeed.Constant(minReadInterval), Sink: e,
+		Store: c.Store, Topic: crank.TermTopic, Logger: c.Logger, Wait: crankfeed.Constant(maxReadWait), MinInterval: crankfeed.Constant(minReadInterval), Wake: e.claimed, Sink: e,
 	})
 	return e
 }
@@ -210,7 +216,7 @@
 	if !e.loaded || at.Sub(e.lastRead) > maxReadGap {
 		e.holderSeen = now
 	}
-	e.loaded, e.lastRead, e.topicEnd, e.storeReached = true, now, end, e.Uptime()
+	e.loaded, e.lastRead, e.currentAt, e.topicEnd, e.storeReached = true, now, at, end, e.Uptime()
 	e.notify()
 }
 
@@ -272,6 +278,17 @@
 	return e.term
 }
 
+// newestAt returns a time at which a term was the newest one, or the zero time if a later
+// one was read.
+func (e *Elector) newestAt(number int64) time.Time {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.term.Number != number {
+		return time.Time{}
+	}
+	return e.currentAt
+}
+
 // holdsTerm returns the newest term and whether this instance holds it.
 func (e *Elector) holdsTerm() (int64, bool) {
 	e.mu.Lock()
@@ -361,6 +378,10 @@
 	if err := e.append(ctx, termKey, next, at); err != nil {
 		e.Logger.Info("lead: claim append failed", "term", next.Number, "error", err)
 	}
+	select {
+	case e.claimed <- struct{}{}:
+	default:
+	}
 	deadline := time.After(claimTimeout)
 	for e.Term().Number < next.Number {
 		select {
--- a/internal/cranksched/bench_test.go
+++ b/internal/cranksched/bench_test.go
@@ -77,6 +77,9 @@
 // Valid implements Leadership.
 func (invalidTerm) Valid() bool { return false }
 
+// ConfirmedAfter implements Leadership.
+func (invalidTerm) ConfirmedAfter(time.Time) bool { return true }
+
 // Resign implements Leadership.
 func (invalidTerm) Resign(string) {}
 
--- a/internal/cranksched/pace.go
+++ b/internal/cranksched/pace.go
@@ -2,38 +2,36 @@
 
 import "time"
 
-// paceMeter notices a planner that cannot keep up: the loop handles far fewer ticks
-// than the ticker sends.
+// paceMeter notices a planner that cannot keep up: its loop stalls again and again.
 //
 // Load pattern: the leader's machine turns several times slower during a burst. Reports,
 // orders and submissions queue up there for seconds, while other instances idle.
 type paceMeter struct {
-	windowStart time.Time
-	ticks       int // handled in the window
+	last   time.Time   // handled tick
+	stalls []time.Time // within stallPeriod
 }
 
 // Thresholds of the meter.
 const (
-	paceWindow   = 1 * time.Second
-	minTickShare = 0.35            // of the ticks in a window; rounds take a fifth of the time
-	settlingTime = 3 * time.Second // of a new term, whose start takes more work
+	minStall     = 200 * time.Millisecond // between handled ticks
+	stallPeriod  = 3 * time.Second
+	maxStalls    = 3               // in stallPeriod; a machine that was paused stalls once
+	settlingTime = 5 * time.Second // of a new term, whose start takes more work
 )
 
-// tick records a handled tick and reports whether too few were handled in the window
-// that it ends.
+// tick records a handled tick and reports whether the loop has stalled too often.
 func (m *paceMeter) tick(now time.Time) (tooSlow bool) {
-	if m.windowStart.IsZero() {
-		m.windowStart = now
+	gap := now.Sub(m.last)
+	stalled := !m.last.IsZero() && gap > minStall
+	m.last = now
+	if !stalled {
 		return false
 	}
-	m.ticks++
-	elapsed := now.Sub(m.windowStart)
-	if elapsed < paceWindow {
-		return false
+	m.stalls = append(m.stalls, now)
+	for now.Sub(m.stalls[0]) > stallPeriod {
+		m.stalls = m.stalls[1:]
 	}
-	tooSlow = float64(m.ticks) < minTickShare*float64(elapsed/tick)
-	m.windowStart, m.ticks = now, 0
-	return tooSlow
+	return len(m.stalls) >= maxStalls
 }
 
 // checkPace gives the term up when this instance is too slow for it.
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -21,6 +21,9 @@
 //     each worker of the roster has answered under the new fence, or its
 //     incarnation has ended or its lease expired. Until then it is unknown where
 //     these tasks run.
+//   - A lease that this planner no longer extends counts as expired only once its term
+//     is known to have been the newest after that time. Until then a later planner may
+//     have extended the lease, and the tasks run on.
 //   - Run numbers grow with the term, so that no number is used twice.
 //   - A run whose order got no answer keeps its capacity until a report made
 //     after the order expired does not list it.
@@ -44,6 +47,8 @@
 type Leadership interface {
 	// Valid reports whether the term may still send orders.
 	Valid() bool
+	// ConfirmedAfter reports whether no later term had begun at some time after t.
+	ConfirmedAfter(t time.Time) bool
 	// Resign gives the term up.
 	Resign(reason string)
 	// Yield gives the term up in favour of another instance, unless that happened not
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -87,7 +87,7 @@
 		// A draining worker that is neither listed nor answers has left. Any other
 		// may be partitioned and run on until its lease expires. While the worker
 		// is unaccounted for, an earlier term's planner may still extend the lease.
-		gone := w.entry.Draining || (!s.unaccounted[w.incarnation] && now.After(w.keeper.LeaseExpiry()))
+		gone := w.entry.Draining || (!s.unaccounted[w.incarnation] && s.leaseExpired(w, now))
 		if w.ended || (now.Sub(w.unlistedSince) > unlistedGrace && w.failedRenewals > 0 && gone) {
 			s.endIncarnation(w, "no longer listed")
 			delete(s.workers, id)
@@ -157,7 +157,7 @@
 		s.changed = true
 	}
 	for _, w := range s.workers {
-		if w.failedRenewals > 0 && len(w.placements) > 0 && now.After(w.keeper.LeaseExpiry()) {
+		if w.failedRenewals > 0 && len(w.placements) > 0 && s.leaseExpired(w, now) {
 			s.Scope.Counter("leases_lapsed").Inc(1)
 			s.Logger.Warn("sched: lease expired without an answer", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "lost", len(w.placements))
 			for _, p := range w.placements {
@@ -172,6 +172,13 @@
 	}
 }
 
+// leaseExpired reports whether all runs at a worker have stopped: the lease that this
+// planner granted is over, and no later planner can have extended it before that.
+func (s *Scheduler) leaseExpired(w *worker, now time.Time) bool {
+	expiry := w.keeper.LeaseExpiry()
+	return now.After(expiry) && s.Leadership.ConfirmedAfter(expiry)
+}
+
 // release frees the capacity of a run that no longer exists. Its task waits again
 // unless it is done.
 func (s *Scheduler) release(p *placement, why string) {
