--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -5,7 +5,8 @@
 // ends at the expected offset, so of two concurrent claims one is stored. All
 // instances read the topic; the newest claim names the holder of the term, which is
 // the leader. The holder appends heartbeats; when they stop while the topic can be
-// read, another instance claims the next term.
+// read, another instance claims the next term. A holder may also release its term, when
+// it stops or is too slow for the planner.
 package cranklead
 
 import (
@@ -84,30 +85,6 @@
 	Lead func(ctx context.Context, h *HeldTerm)
 }
 
-// HeldTerm is a term that this instance holds.
-type HeldTerm struct {
-	Number int64
-	// Overlap is how long earlier holders may still send orders.
-	Overlap time.Duration
-	elector *Elector
-}
-
-// Valid reports whether the holder reached the store within GracePeriod and so
-// may still send orders.
-func (h *HeldTerm) Valid() bool { return h.elector.Uptime()-h.elector.lastStoreContact() < GracePeriod }
-
-// ConfirmedAfter reports whether this term was the newest one at some time after t, so
-// that no later holder can have acted before t.
-func (h *HeldTerm) ConfirmedAfter(t time.Time) bool { return h.elector.newestAt(h.Number).After(t) }
-
-// Resign gives the term up on evidence that another instance holds a newer one.
-func (h *HeldTerm) Resign(reason string) { h.elector.resign(h.Number, reason) }
-
-// Yield gives the term up in favour of another instance, which claims it as after a
-// shutdown. It does nothing within yieldPeriod of the last time that any holder did, so
-// that a load that is too much for all does not move the term on and on.
-func (h *HeldTerm) Yield(reason string) bool { return h.elector.yield(h.Number, reason) }
-
 // Elector follows the term topic and runs Lead while this instance holds the
 // term.
 type Elector struct {
@@ -142,84 +119,6 @@
 	return e
 }
 
-// Reset implements crankfeed.Sink.
-func (e *Elector) Reset(records []crank.KeyedRecord) { e.Apply(records) }
-
-// Apply implements crankfeed.Sink.
-func (e *Elector) Apply(records []crank.KeyedRecord) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	for _, r := range records {
-		switch r.Key {
-		case termKey:
-			e.applyTerm(r)
-		case heartbeatKey:
-			e.applyHeartbeat(r)
-		case releaseKey:
-			e.applyRelease(r)
-		}
-	}
-}
-
-func (e *Elector) applyTerm(r crank.KeyedRecord) {
-	var t Term
-	if err := json.Unmarshal(r.Value, &t); err != nil {
-		e.Logger.Warn("lead: undecodable record ignored", "key", r.Key, "offset", r.Offset, "error", err)
-		return
-	}
-	if t.Number < e.term.Number {
-		return
-	}
-	e.Logger.Info("lead: term claim read", "term", t.Number, "holder", t.Holder, "offset", r.Offset, "former", e.term.Number)
-	if t.Number > e.term.Number {
-		e.overlap = e.overlapAfter(e.term)
-	}
-	e.term, e.holderSeen = t, time.Now()
-	e.notify()
-}
-
-func (e *Elector) applyRelease(r crank.KeyedRecord) {
-	var rel releaseRecord
-	if err := json.Unmarshal(r.Value, &rel); err != nil {
-		e.Logger.Warn("lead: undecodable record ignored", "key", r.Key, "offset", r.Offset, "error", err)
-		return
-	}
-	e.Logger.Info("lead: term release read", "term", rel.Term, "offset", r.Offset, "newest", e.term.Number)
-	e.releasedTerm = max(e.releasedTerm, rel.Term)
-	if rel.Yielded {
-		e.yieldedAt = time.Now()
-	}
-	e.notify()
-}
-
-func (e *Elector) applyHeartbeat(r crank.KeyedRecord) {
-	var h heartbeatRecord
-	if err := json.Unmarshal(r.Value, &h); err != nil {
-		e.Logger.Warn("lead: undecodable record ignored", "key", r.Key, "offset", r.Offset, "error", err)
-		return
-	}
-	if h.Term < e.heartbeat.Term || (h.Term == e.heartbeat.Term && h.Count <= e.heartbeat.Count) {
-		return // stored late or twice
-	}
-	e.heartbeat = h
-	if h.Term == e.term.Number {
-		e.holderSeen = time.Now()
-	}
-}
-
-// CaughtUp implements crankfeed.Sink. HeartbeatTimeout starts anew if the topic
-// could not be read, since the holder could not append heartbeats then either.
-func (e *Elector) CaughtUp(at time.Time, end crank.Offset) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	now := time.Now()
-	if !e.loaded || at.Sub(e.lastRead) > maxReadGap {
-		e.holderSeen = now
-	}
-	e.loaded, e.lastRead, e.currentAt, e.topicEnd, e.storeReached = true, now, at, end, e.Uptime()
-	e.notify()
-}
-
 func (e *Elector) notify() {
 	select {
 	case e.changed <- struct{}{}:
@@ -244,33 +143,6 @@
 	e.notify()
 }
 
-func (e *Elector) yield(number int64, reason string) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if number <= e.yieldingTerm || (!e.yieldedAt.IsZero() && time.Since(e.yieldedAt) < yieldPeriod) {
-		return false
-	}
-	now := time.Now()
-	e.yieldingTerm, e.yieldedAt, e.yieldedHere = number, now, now
-	e.Logger.Warn("lead: yielding", "term", number, "reason", reason)
-	e.notify()
-	return true
-}
-
-// yields reports whether this instance gives a term up because it is too slow.
-func (e *Elector) yields(number int64) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return number == e.yieldingTerm
-}
-
-// yieldedRecently reports whether this instance yielded within yieldPeriod.
-func (e *Elector) yieldedRecently() bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return !e.yieldedHere.IsZero() && time.Since(e.yieldedHere) < yieldPeriod
-}
-
 // Term returns the newest term that was read.
 func (e *Elector) Term() Term {
 	e.mu.Lock()
@@ -394,64 +266,6 @@
 	}
 }
 
-// lead runs the planner until the term is over or the context ends.
-func (e *Elector) lead(ctx context.Context, number int64) {
-	e.mu.Lock()
-	heldTerm := &HeldTerm{Number: number, Overlap: e.overlap, elector: e}
-	e.mu.Unlock()
-	e.Logger.Info("lead: term begins", "term", number, "overlap", heldTerm.Overlap)
-	leadCtx, stop := context.WithCancel(ctx)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		e.Lead(leadCtx, heldTerm)
-	}()
-	ticker := time.NewTicker(HeartbeatPeriod)
-	defer ticker.Stop()
-	count := int64(0)
-	heartbeats := make(chan struct{}, maxHeartbeats) // holds a token for each one without an answer
-	for {
-		if held, ok := e.holdsTerm(); !ok || held != number || ctx.Err() != nil || e.yields(number) {
-			break
-		}
-		select {
-		case <-e.changed:
-		case <-ticker.C:
-			select {
-			case heartbeats <- struct{}{}:
-				count++
-				go func(h heartbeatRecord) {
-					defer func() { <-heartbeats }()
-					if err := e.append(leadCtx, heartbeatKey, h, crank.AnyOffset); err != nil {
-						e.Logger.Debug("lead: heartbeat failed", "term", h.Term, "count", h.Count, "error", err)
-					}
-				}(heartbeatRecord{Term: number, Count: count})
-			default:
-			}
-		case <-ctx.Done():
-		}
-	}
-	stop()
-	<-done
-	e.Logger.Info("lead: term ends", "term", number, "newest", e.Term().Number, "stopping", ctx.Err() != nil)
-	if ctx.Err() != nil || e.yields(number) {
-		e.release(context.WithoutCancel(ctx), number)
-	}
-}
-
-// release lets a successor claim without waiting for HeartbeatTimeout.
-func (e *Elector) release(ctx context.Context, number int64) {
-	if held, ok := e.holdsTerm(); !ok || held != number {
-		return
-	}
-	if err := e.append(ctx, releaseKey, releaseRecord{Term: number, Yielded: e.yields(number)}, crank.AnyOffset); err != nil {
-		e.Logger.Warn("lead: term release failed", "term", number, "error", err)
-	}
-	if e.yields(number) {
-		e.resign(number, "it was yielded")
-	}
-}
-
 func (e *Elector) append(ctx context.Context, key string, v any, at crank.Offset) error {
 	value, err := json.Marshal(v)
 	if err != nil {
--- /dev/null
+++ b/internal/cranklead/held_term.go
@@ -0,0 +1,117 @@
+package cranklead
+
+import (
+	"context"
+	"time"
+
+	crank "cranberrycrank"
+)
+
+// HeldTerm is a term that this instance holds.
+type HeldTerm struct {
+	Number int64
+	// Overlap is how long earlier holders may still send orders.
+	Overlap time.Duration
+	elector *Elector
+}
+
+// Valid reports whether the holder reached the store within GracePeriod and so
+// may still send orders.
+func (h *HeldTerm) Valid() bool { return h.elector.Uptime()-h.elector.lastStoreContact() < GracePeriod }
+
+// ConfirmedAfter reports whether this term was the newest one at some time after t, so
+// that no later holder can have acted before t.
+func (h *HeldTerm) ConfirmedAfter(t time.Time) bool { return h.elector.newestAt(h.Number).After(t) }
+
+// Resign gives the term up on evidence that another instance holds a newer one.
+func (h *HeldTerm) Resign(reason string) { h.elector.resign(h.Number, reason) }
+
+// Yield gives the term up in favour of another instance, which claims it as after a
+// shutdown. It does nothing within yieldPeriod of the last time that any holder did, so
+// that a load that is too much for all does not move the term on and on.
+func (h *HeldTerm) Yield(reason string) bool { return h.elector.yield(h.Number, reason) }
+
+// lead runs the planner until the term is over or the context ends.
+func (e *Elector) lead(ctx context.Context, number int64) {
+	e.mu.Lock()
+	heldTerm := &HeldTerm{Number: number, Overlap: e.overlap, elector: e}
+	e.mu.Unlock()
+	e.Logger.Info("lead: term begins", "term", number, "overlap", heldTerm.Overlap)
+	leadCtx, stop := context.WithCancel(ctx)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		e.Lead(leadCtx, heldTerm)
+	}()
+	ticker := time.NewTicker(HeartbeatPeriod)
+	defer ticker.Stop()
+	count := int64(0)
+	heartbeats := make(chan struct{}, maxHeartbeats) // holds a token for each one without an answer
+	for {
+		if held, ok := e.holdsTerm(); !ok || held != number || ctx.Err() != nil || e.yields(number) {
+			break
+		}
+		select {
+		case <-e.changed:
+		case <-ticker.C:
+			select {
+			case heartbeats <- struct{}{}:
+				count++
+				go func(h heartbeatRecord) {
+					defer func() { <-heartbeats }()
+					if err := e.append(leadCtx, heartbeatKey, h, crank.AnyOffset); err != nil {
+						e.Logger.Debug("lead: heartbeat failed", "term", h.Term, "count", h.Count, "error", err)
+					}
+				}(heartbeatRecord{Term: number, Count: count})
+			default:
+			}
+		case <-ctx.Done():
+		}
+	}
+	stop()
+	<-done
+	e.Logger.Info("lead: term ends", "term", number, "newest", e.Term().Number, "stopping", ctx.Err() != nil)
+	if ctx.Err() != nil || e.yields(number) {
+		e.release(context.WithoutCancel(ctx), number)
+	}
+}
+
+// release lets a successor claim without waiting for HeartbeatTimeout.
+func (e *Elector) release(ctx context.Context, number int64) {
+	if held, ok := e.holdsTerm(); !ok || held != number {
+		return
+	}
+	if err := e.append(ctx, releaseKey, releaseRecord{Term: number, Yielded: e.yields(number)}, crank.AnyOffset); err != nil {
+		e.Logger.Warn("lead: term release failed", "term", number, "error", err)
+	}
+	if e.yields(number) {
+		e.resign(number, "it was yielded")
+	}
+}
+
+func (e *Elector) yield(number int64, reason string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if number <= e.yieldingTerm || (!e.yieldedAt.IsZero() && time.Since(e.yieldedAt) < yieldPeriod) {
+		return false
+	}
+	now := time.Now()
+	e.yieldingTerm, e.yieldedAt, e.yieldedHere = number, now, now
+	e.Logger.Warn("lead: yielding", "term", number, "reason", reason)
+	e.notify()
+	return true
+}
+
+// yields reports whether this instance gives a term up because it is too slow.
+func (e *Elector) yields(number int64) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return number == e.yieldingTerm
+}
+
+// yieldedRecently reports whether this instance yielded within yieldPeriod.
+func (e *Elector) yieldedRecently() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return !e.yieldedHere.IsZero() && time.Since(e.yieldedHere) < yieldPeriod
+}
--- a/internal/crankrelay/hedge.go
+++ b/internal/crankrelay/hedge.go
@@ -5,7 +5,7 @@
 	"time"
 )
 
-// Delays until a call without an answer is tried on another path as well.
+// Delays until a call without an answer goes out on another path as well.
 const (
 	hedgeDelay       = 400 * time.Millisecond // while answers are quick
 	maxHedgeDelay    = 2 * time.Second        // also of loading a topic, which takes long on a narrow link
@@ -31,7 +31,7 @@
 	a.usual += time.Duration(answerTimeWeight * float64(took-a.usual))
 }
 
-// hedge returns how long to wait for an answer before another path is tried too.
+// hedge returns how long to wait for an answer before the call goes out on another path.
 func (a *answerTime) hedge() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
