Malformed jobs in the job topic or from a peer are ignored

The planner indexes the steps that a step comes after: a record or call with a step that does not exist would have stopped every instance that leads, one after the other.

--- a/internal/crankjobs/state.go
+++ b/internal/crankjobs/state.go
@@ -140,10 +140,14 @@
 	case len(r.Value) == 0:
 		return s, nil
 	case prefix == jobPrefix && !j.Submitted:
-		if err := decode(r.Value, &j.Job); err != nil {
+		var job crank.StepJob
+		if err := decode(r.Value, &job); err != nil {
 			return s, err
 		}
-		j.Submitted = true
+		if err := job.Validate(); err != nil { // the planner relies on it
+			return s, err
+		}
+		j.Job, j.Submitted = job, true
 	case prefix == jobPrefix:
 		return s, nil
 	case prefix == cancelPrefix && j.cancelOffset == noOffset:
--- a/internal/crankpeer/leader.go
+++ b/internal/crankpeer/leader.go
@@ -31,6 +31,9 @@
 	if err := json.Unmarshal(r.Job, &job); err != nil {
 		return leaderReply("", crank.Wrap("leader submit", crank.KindInvalid, err)), nil
 	}
+	if err := job.Validate(); err != nil {
+		return leaderReply("", err), nil
+	}
 	return leaderReply("", s.leader.Submit(ctx, job)), nil
 }
 
--- a/internal/crankpeer/leader_test.go
+++ b/internal/crankpeer/leader_test.go
@@ -52,6 +52,11 @@
 		is.Equal(crank.KindOf(err), kind)
 	}
 
+	leader.last = crank.StepJob{}
+	malformed := crank.StepJob{ID: "job2", Steps: []crank.Step{{Tasks: 1, After: []int{7}}}}
+	is.Equal(crank.KindOf(client.Submit(t.Context(), malformed)), crank.KindInvalid)
+	is.Equal(leader.last.ID, "") // it did not reach the planner
+
 	stranger := NewLeaderDialer().Leader(addr, "another key")
 	is.True(stranger.Submit(t.Context(), job) != nil)
 }
