A held request whose route can't be judged is tried again while its caller waits

The wait between two attempts is a function of its own. A refusal keeps the delay that the policy gives; an uncertain submission no longer ends early when the configuration gets too old meanwhile.

--- a/internal/crankgate/submit.go
+++ b/internal/crankgate/submit.go
@@ -1,13 +1,11 @@
 package crankgate
 
 import (
-	"cmp"
 	"context"
 	"log/slog"
 	"time"
 
 	crank "cranberrycrank"
-	"cranberrycrank/internal/crankadmission"
 	"cranberrycrank/internal/crankfeed"
 	"cranberrycrank/internal/crankjobs"
 )
@@ -34,8 +32,7 @@
 
 // whileHeld repeats a call until it succeeds. A call that certainly had no effect is
 // repeated until the hold policy refuses the request, one that may have had an effect
-// until the caller's deadline, since it can't be refused truthfully any more. The
-// request is routed again before each repeat: the configuration may have changed.
+// until the caller's deadline, since it can't be refused truthfully any more.
 func (h *RequestHandler) whileHeld(ctx context.Context, r RoutedRequest, call func(RoutedRequest) error) error {
 	uncertain := false
 	for {
@@ -43,33 +40,42 @@
 		if err == nil {
 			return nil
 		}
-		next := crankadmission.Decision{}
-		switch kind := crank.KindOf(err); {
-		case kind == crank.KindUnknown:
-			uncertain = true
-			next = hold.AfterUnknown(r.admission(), time.Now())
-		case uncertain:
-			next = hold.AfterUnknown(r.admission(), time.Now())
-		case kind == crank.KindUnavailable:
-			next = hold.After(r.admission(), time.Now())
-		default:
+		uncertain = uncertain || crank.KindOf(err) == crank.KindUnknown
+		if !r.request.Hold || (!uncertain && crank.KindOf(err) != crank.KindUnavailable) {
 			return err
 		}
-		if next.Retry && r.request.Hold {
-			crankfeed.Sleep(ctx, next.Delay)
-			var routeErr error
-			if r, routeErr = h.route(ctx, r); routeErr == nil && ctx.Err() == nil {
-				continue
-			}
-			err = cmp.Or(routeErr, err)
+		if r, err = h.awaitRetry(ctx, r, err, uncertain); err != nil {
+			return err
+		}
+	}
+}
+
+// awaitRetry waits for the next attempt at a call and routes its request again, since
+// the configuration may have changed. The error is final.
+func (h *RequestHandler) awaitRetry(ctx context.Context, r RoutedRequest, cause error, uncertain bool) (RoutedRequest, error) {
+	for {
+		next := hold.After(r.admission(), time.Now())
+		if uncertain {
+			next = hold.AfterUnknown(r.admission(), time.Now())
 		}
 		switch {
-		case uncertain:
-			return &crank.Error{Op: "store", Kind: crank.KindUnknown, Cause: err}
+		case uncertain && (!next.Retry || ctx.Err() != nil):
+			return r, &crank.Error{Op: "store", Kind: crank.KindUnknown, Cause: cause}
+		case !next.Retry || ctx.Err() != nil:
+			return r, &Refusal{Cause: cause, RetryAfter: next.RetryAfter}
+		}
+		crankfeed.Sleep(ctx, next.Delay)
+		routed, err := h.route(ctx, r)
+		switch {
+		case err == nil:
+			return routed, nil
 		case crank.KindOf(err) == crank.KindUnavailable:
-			return &Refusal{Cause: err, RetryAfter: next.RetryAfter}
+			cause = err
+		case uncertain:
+			return r, &crank.Error{Op: "store", Kind: crank.KindUnknown, Cause: err}
+		default:
+			return r, err
 		}
-		return err
 	}
 }
 
