--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -25,11 +25,10 @@
 type scenario func(d *deployment, trouble bool) error
 
 var scenarios = map[string]scenario{
-	"many-ends":       manyEnds,
-	"large-job":       largeJob,
-	"reborn-worker":   rebornWorker,
-	"draining-worker": drainingWorker,
-	"long-schedules":  longSchedules,
+	"many-ends":      manyEnds,
+	"large-job":      largeJob,
+	"reborn-worker":  rebornWorker,
+	"long-schedules": longSchedules,
 }
 
 func main() {
