A worker that left as the leader was lost is known to have left

Cause: whether a draining worker had left in order was known only to a planner that had itself read the worker's last heartbeat and, soon after, the removal of its entry. The same held for a worker that left within a heartbeat after the new planner's first read.

Change: each instance marks twice per heartbeat where the worker topic ends (crankfleet.Timeline; 1 KiB at most is read). The marks bound the time between an entry's last write and its removal, whoever read them, so a new planner finds in the history of the topic which of the unlisted workers have left. The marks use the uptime with suspended time: before, an instance that was suspended while the entry of a draining worker expired took its own pause for none, and the worker for one that had left under a good lease.

Ruled out: refused connections (the worker's address goes with it and answers nothing), shorter leases (work would lapse in an outage of the store), the list of machines (no page says how soon it shows an end).

The logged lease-left of a worker that never answered is that of its inherited lease now.

--- a/cmd/internal/crankcli/entry.go
+++ b/cmd/internal/crankcli/entry.go
@@ -110,13 +110,15 @@
 	defer metrics.closer.Close()
 	p.scope = metrics.scope
 	client := crankadapter.NewClient()
+	store := crankadapter.NewStore(client, p.settings.StoreAddr)
 	p.entry = crankentry.New(crankentry.Config{
 		Instance:        p.settings.Instance,
 		Zone:            p.settings.Zone,
 		PeerAddr:        p.settings.PeerListen,
 		Peers:           crankpeer.NewStoreDialer(),
 		Leaders:         crankpeer.NewLeaderDialer(),
-		Store:           crankadapter.NewStore(client, p.settings.StoreAddr),
+		Store:           store,
+		TopicEnds:       store,
 		Workers:         crankadapter.NewWorkerDialer(client),
 		DecodeWorker:    crankadapter.DecodeWorker,
 		DecodeOperator:  crankadapter.DecodeOperator,
--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -38,6 +38,7 @@
 	Peers           crank.StorePeerDialer
 	Leaders         crank.LeaderDialer
 	Store           crank.Store
+	TopicEnds       crank.TopicEnds // of the same store
 	Workers         crank.LeaseDialer
 	DecodeWorker    crankfleet.Decoder
 	DecodeOperator  crankoperator.Decoder
@@ -67,6 +68,10 @@
 	retentionMargin = 60 * time.Second
 )
 
+// marksPerHeartbeat is how often the end of the worker topic is read while a worker
+// writes its entry once.
+const marksPerHeartbeat = 2
+
 // jobMemoryShare divides the memory of the process: so much may be set aside for jobs,
 // and half as much is for further occurrences of recurring ones. The rest is for workers,
 // connections, requests and garbage.
@@ -79,7 +84,8 @@
 	jobs      *crankjobs.JobReplica
 	writer    *crankfeed.Writer
 	relay     *crankrelay.Store
-	peerKey   string // required from other instances
+	peerKey   string               // required from other instances
+	timeline  *crankfleet.Timeline // of the worker topic
 	elector   *cranklead.Elector
 	followers []*crankfeed.Follower
 	scheduler atomic.Pointer[cranksched.Scheduler] // while this instance holds the term
@@ -93,6 +99,9 @@
 		Primary: meteredStore{c.Store, meter{c.Scope, "store_call"}}, Peers: e.storePeers, Instances: e.instanceCount, Logger: c.Logger, Scope: c.Scope,
 	})
 	c.Store = e.relay
+	e.timeline = crankfleet.NewTimeline(crankfleet.TimelineConfig{
+		Ends: meteredEnds{c.TopicEnds, meter{c.Scope, "store_call"}}, Period: c.Bounds.Heartbeat / marksPerHeartbeat, Uptime: c.Uptime, Logger: c.Logger,
+	})
 	c.Workers = meteredDialer{c.Workers, meter{c.Scope, "worker_call"}}
 	e.Config = c
 	operator := crankoperator.New(c.DecodeOperator, c.Logger)
@@ -105,7 +114,7 @@
 	}
 	e.elector = cranklead.New(cranklead.Config{Instance: c.Instance, ProcessorShare: c.ProcessorShare, Instances: e.instanceCount, Store: c.Store, Logger: c.Logger, Uptime: c.Uptime, Lead: func(ctx context.Context, h *cranklead.HeldTerm) {
 		scheduler := cranksched.New(cranksched.Config{
-			Term: h.Number, Leadership: h, Store: c.Store, Jobs: e.jobs, Operator: operator, Decode: c.DecodeWorker, Workers: c.Workers,
+			Term: h.Number, Leadership: h, Store: c.Store, Jobs: e.jobs, Operator: operator, Decode: c.DecodeWorker, Timeline: e.timeline, Workers: c.Workers,
 			Bounds: c.Bounds, StoreLimits: c.StoreLimits, Overlap: h.Overlap, Retention: budget.Retention, Budget: budget, Logger: c.Logger, Scope: c.Scope,
 		})
 		e.scheduler.Store(scheduler)
@@ -156,7 +165,7 @@
 // until the context ends.
 func (e *Entry) RunFeeds(ctx context.Context) error {
 	var g run.Group
-	for _, actor := range []func(context.Context) error{e.followers[0].Run, e.followers[1].Run, e.writer.Run, e.announce} {
+	for _, actor := range []func(context.Context) error{e.followers[0].Run, e.followers[1].Run, e.writer.Run, e.timeline.Run, e.announce} {
 		callCtx, cancel := context.WithCancel(ctx)
 		g.Add(func() error { return actor(callCtx) }, func(error) { cancel() })
 	}
--- a/internal/crankentry/meter.go
+++ b/internal/crankentry/meter.go
@@ -52,6 +52,19 @@
 	return b, err
 }
 
+type meteredEnds struct {
+	crank.TopicEnds
+	meter
+}
+
+// End implements crank.TopicEnds.
+func (e meteredEnds) End(ctx context.Context, topic crank.Topic, from crank.Offset) (crank.Offset, error) {
+	begun := time.Now()
+	end, err := e.TopicEnds.End(ctx, topic, from)
+	e.record("end", begun, err)
+	return end, err
+}
+
 // meteredDialer dials workers whose calls are recorded.
 type meteredDialer struct {
 	crank.LeaseDialer
--- a/internal/crankfleet/list.go
+++ b/internal/crankfleet/list.go
@@ -21,10 +21,17 @@
 // must be noticed within two seconds.
 const ListPeriod = 400 * time.Millisecond
 
+// ListConfig holds the settings and dependencies of a List.
+type ListConfig struct {
+	Decode    Decoder
+	Heartbeat time.Duration // between two writes of a worker's entry, 0 if it is not known
+	Timeline  *Timeline     // of the worker topic; may be nil
+	Logger    *slog.Logger
+}
+
 // List holds the entries of the worker topic. It implements crankfeed.Sink.
 type List struct {
-	decode  Decoder
-	logger  *slog.Logger
+	ListConfig
 	mu      sync.Mutex
 	entries map[string]crank.WorkerEntry // by worker ID
 	started map[string]int64             // start time of the last listed incarnation by key, until the key is removed
@@ -32,27 +39,18 @@
 	asOf    time.Time                    // all entries published by then are listed; zero before the first load
 	version int64                        // see Version
 
-	heartbeat time.Duration
-	renewed   map[string]time.Time // by worker ID: the newest entry was written after it
-	left      map[string]bool      // see HasLeft
+	offsets map[string]crank.Offset // of the newest entry by worker ID
+	left    map[string]bool         // see HasLeft
 }
 
-// NewList returns an empty list. Workers write their entries at every heartbeat; 0 means
-// that its interval is not known.
-func NewList(decode Decoder, heartbeat time.Duration, logger *slog.Logger) *List {
+// NewList returns an empty list.
+func NewList(c ListConfig) *List {
 	return &List{
-		decode: decode, logger: logger, entries: make(map[string]crank.WorkerEntry), started: make(map[string]int64), earlier: make(map[string]int64),
-		heartbeat: heartbeat, renewed: make(map[string]time.Time), left: make(map[string]bool),
+		ListConfig: c, entries: make(map[string]crank.WorkerEntry), started: make(map[string]int64), earlier: make(map[string]int64),
+		offsets: make(map[string]crank.Offset), left: make(map[string]bool),
 	}
 }
 
-// The platform removes the entry of a worker that has left at once, and that of a silent
-// one after missedHeartbeats.
-const (
-	missedHeartbeats = 3
-	heartbeatMargin  = 500 * time.Millisecond // of the platform's clock and the worker's writes
-)
-
 // Incarnation names a worker's incarnation by its ID and start time.
 func Incarnation(e crank.WorkerEntry) string {
 	return e.ID + "/" + strconv.FormatInt(e.StartTimeMs, 10)
@@ -73,7 +71,7 @@
 func (l *List) Reset(records []crank.KeyedRecord) {
 	l.mu.Lock()
 	l.entries = make(map[string]crank.WorkerEntry)
-	clear(l.renewed)
+	clear(l.offsets)
 	started := make(map[string]int64)
 	for _, r := range records {
 		if at, ok := l.started[r.Key]; ok {
@@ -92,15 +90,17 @@
 	defer l.mu.Unlock()
 	for _, r := range records {
 		if len(r.Value) == 0 {
-			l.noteLeft(r.Key)
+			if e, ok := l.entries[r.Key]; ok {
+				l.noteLeft(e, l.offsets[r.Key], r.Offset)
+			}
 			l.remove(r)
 			delete(l.started, r.Key)
 			delete(l.earlier, r.Key)
 			continue
 		}
-		e, err := l.decode(r)
+		e, err := l.Decode(r)
 		if err != nil {
-			l.logger.Warn("list: invalid worker entry", "key", r.Key, "offset", r.Offset, "error", err)
+			l.Logger.Warn("list: invalid worker entry", "key", r.Key, "offset", r.Offset, "error", err)
 			l.remove(r)
 			continue
 		}
@@ -108,25 +108,9 @@
 	}
 }
 
-// noteLeft notes whether a worker whose entry is removed has left: it was draining, and
-// its last heartbeat is too recent for the entry to have expired.
-func (l *List) noteLeft(id string) {
-	e, renewed := l.entries[id], l.renewed[id]
-	if e.Draining && !renewed.IsZero() && time.Since(renewed) < missedHeartbeats*l.heartbeat-heartbeatMargin {
-		l.left[Incarnation(e)] = true
-	}
-}
-
-// HasLeft reports whether an incarnation has shut down in order.
-func (l *List) HasLeft(incarnation string) bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return l.left[incarnation]
-}
-
 func (l *List) remove(r crank.KeyedRecord) {
 	if _, ok := l.entries[r.Key]; ok {
-		l.logger.Info("list: worker removed", "worker", r.Key, "offset", r.Offset)
+		l.Logger.Info("list: worker removed", "worker", r.Key, "offset", r.Offset)
 		delete(l.entries, r.Key)
 		l.version++
 	}
@@ -136,14 +120,14 @@
 	started := l.started[r.Key]
 	switch {
 	case e.StartTimeMs == 0 && started != 0:
-		l.logger.Warn("list: worker entry without a start time", "key", r.Key, "offset", r.Offset)
+		l.Logger.Warn("list: worker entry without a start time", "key", r.Key, "offset", r.Offset)
 		l.remove(r)
 		return
 	case e.StartTimeMs < started && e.StartTimeMs != l.earlier[r.Key]:
 		// It may have been stored late. A second one in a row shows that this
 		// incarnation is the one that writes.
 		l.earlier[r.Key] = e.StartTimeMs
-		l.logger.Info("list: entry of an earlier incarnation ignored", "worker", e.ID, "born", e.StartTimeMs, "listed", started, "offset", r.Offset)
+		l.Logger.Info("list: entry of an earlier incarnation ignored", "worker", e.ID, "born", e.StartTimeMs, "listed", started, "offset", r.Offset)
 		return
 	}
 	delete(l.earlier, r.Key)
@@ -151,9 +135,9 @@
 	old, known := l.entries[e.ID]
 	if !known || old.StartTimeMs != e.StartTimeMs || old.Addr != e.Addr || old.Draining != e.Draining || old.Capacity != e.Capacity {
 		l.version++
-		l.logger.Info("list: worker added or changed", "worker", e.ID, "born", e.StartTimeMs, "addr", e.Addr, "zone", e.Zone, "draining", e.Draining, "offset", r.Offset)
+		l.Logger.Info("list: worker added or changed", "worker", e.ID, "born", e.StartTimeMs, "addr", e.Addr, "zone", e.Zone, "draining", e.Draining, "offset", r.Offset)
 	}
-	l.entries[e.ID], l.renewed[e.ID] = e, l.asOf
+	l.entries[e.ID], l.offsets[e.ID] = e, r.Offset
 }
 
 // CaughtUp implements crankfeed.Sink.
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -20,6 +20,9 @@
 //     order. Tasks that an earlier term may have started are started only after each
 //     worker of the roster has answered under the new fence, or its incarnation has
 //     ended or its lease expired. Until then it is unknown where these tasks run.
+//   - A worker has left before its lease is over only if it was draining, does not answer,
+//     and its entry was removed too soon after it was written for a silent worker. That
+//     holds whichever planner or none saw it (crankfleet.Timeline).
 //   - A worker that drains or does not answer is in the stored roster with what is left of
 //     its lease, which is extended again only after a roster without that is stored.
 //   - A lease that this planner no longer extends counts as expired only once its term
@@ -68,6 +71,7 @@
 	Jobs        *crankjobs.JobReplica
 	Operator    *crankoperator.OperatorReplica
 	Decode      crankfleet.Decoder
+	Timeline    *crankfleet.Timeline // of the worker topic; may be nil
 	Workers     crank.LeaseDialer
 	Bounds      crank.LeaseBounds
 	Overlap     time.Duration // how long planners of earlier terms may still send orders
@@ -92,6 +96,8 @@
 	writeRetry        = 100 * time.Millisecond  // after a failed write
 	unlistedGrace     = 2500 * time.Millisecond // an entry that expired during a store outage is back by then
 	storeAwayTime     = 500 * time.Millisecond  // without an answer to a write; planned runs then give their capacity back
+	historyTime       = 8 * time.Second         // of the worker list, that a new planner reads
+	historyReadTime   = 3 * time.Second         // longest time of reading it
 	minRefusals       = 2                       // refused connections in a row that show that a worker has ended
 	syncPeriod        = 200 * time.Millisecond  // between checks for workers that left the list
 	sweepPeriod       = 5 * time.Second         // between removals of old records
@@ -151,7 +157,7 @@
 	return &Scheduler{
 		Config:      c,
 		inbox:       make(chan func(), inboxSize),
-		list:        crankfleet.NewList(c.Decode, c.Bounds.Heartbeat, c.Logger),
+		list:        crankfleet.NewList(crankfleet.ListConfig{Decode: c.Decode, Heartbeat: c.Bounds.Heartbeat, Timeline: c.Timeline, Logger: c.Logger}),
 		jobs:        make(map[string]*job),
 		workers:     make(map[string]*worker),
 		dirty:       make(map[string]*job),
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/internal/crankfeed"
 	"cranberrycrank/internal/crankfleet"
 )
 
@@ -122,8 +123,9 @@
 }
 
 // askUnlisted asks the incarnations of the inherited roster that are not listed for
-// their runs.
+// their runs, and looks up in the history of the topic which of them have left.
 func (s *Scheduler) askUnlisted(now time.Time) {
+	asked := 0
 	for incarnation := range s.unaccounted {
 		id, started, ok := crankfleet.ParseIncarnation(incarnation)
 		addr := s.roster.addrs[incarnation]
@@ -132,7 +134,40 @@
 		}
 		s.addWorker(crank.WorkerEntry{ID: id, StartTimeMs: started, Addr: addr})
 		s.workers[id].unlistedSince = now
+		asked++
 	}
+	if from, ok := s.Timeline.EndBefore(historyTime); ok && asked > 0 {
+		go s.readHistory(from)
+	}
+}
+
+// readHistory passes the records of the worker topic from an offset on to the list.
+func (s *Scheduler) readHistory(from crank.Offset) {
+	begun, next := time.Now(), from
+	var records []crank.KeyedRecord
+	for time.Since(begun) < historyReadTime {
+		ctx, cancel := context.WithTimeout(s.ctx, historyReadTime)
+		batch, err := s.Store.Read(ctx, crank.WorkerTopic, next, 0)
+		cancel()
+		if kind := crank.KindOf(err); err != nil && (s.ctx.Err() != nil || kind == crank.KindExpired) {
+			s.Logger.Warn("sched: history of the worker list not read", "from", next, "error", err)
+			return
+		}
+		if err != nil {
+			crankfeed.Sleep(s.ctx, writeRetry)
+			continue
+		}
+		records = append(records, batch.Records...)
+		if len(batch.Records) > 0 {
+			next = batch.Records[len(batch.Records)-1].Offset + 1
+		}
+		if next >= batch.End {
+			s.Logger.Info("sched: history of the worker list read", "from", from, "end", next, "took", time.Since(begun))
+			s.list.ReadHistory(records)
+			return
+		}
+	}
+	s.Logger.Warn("sched: history of the worker list not read in time", "from", from, "next", next)
 }
 
 // addWorker starts to renew the lease of a new incarnation.
@@ -162,11 +197,11 @@
 func (s *Scheduler) endIncarnation(w *worker, reason string, restarted bool) {
 	w.stop()
 	w.ended = true
+	s.Logger.Info("sched: worker incarnation ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "reason", reason, "lost", len(w.placements),
+		"listed", w.unlistedSince.IsZero(), "draining", w.entry.Draining, "answered", w.answered, "failed-holds", w.failedRenewals, "lease-left", s.leaseLeft(w, time.Now()).Round(time.Millisecond))
 	if !restarted {
 		s.markAccounted(w.incarnation)
 	}
-	s.Logger.Info("sched: worker incarnation ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "reason", reason, "lost", len(w.placements),
-		"listed", w.unlistedSince.IsZero(), "draining", w.entry.Draining, "failed-holds", w.failedRenewals, "lease-left", time.Until(w.keeper.LeaseExpiry()).Round(time.Millisecond))
 	for _, p := range w.placements {
 		if !restarted || !s.mayReachNext(p) {
 			s.release(p, "worker incarnation ended")
@@ -242,6 +277,19 @@
 	return w != nil && w.incarnation == incarnation && w.answered && !now.After(w.keeper.LeaseExpiry())
 }
 
+// leaseEnd returns by when all runs at a worker have stopped unless its lease is extended.
+func (s *Scheduler) leaseEnd(w *worker) time.Time {
+	if until, ok := s.unaccounted[w.incarnation]; ok {
+		return until
+	}
+	return w.keeper.LeaseExpiry()
+}
+
+// leaseLeft returns how long the lease of a worker may last, 0 if it is over.
+func (s *Scheduler) leaseLeft(w *worker, now time.Time) time.Duration {
+	return max(0, s.leaseEnd(w).Sub(now))
+}
+
 // leaseExpired reports whether all runs at a worker have stopped: the lease that this
 // planner or an earlier one granted is over, and no later planner can have extended it
 // before that.
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -103,11 +103,7 @@
 		}
 		w.endingStored = true
 		s.roster.limited[w.incarnation] = true
-		until, unknown := s.unaccounted[w.incarnation]
-		if !unknown {
-			until = w.keeper.LeaseExpiry()
-		}
-		left[w.incarnation] = max(0, until.Sub(now).Milliseconds())
+		left[w.incarnation] = s.leaseLeft(w, now).Milliseconds()
 	}
 	return left
 }
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -256,7 +256,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	inst := &instance{caller: caller, stop: stop, done: make(chan struct{})}
 	inst.Entry = crankentry.New(crankentry.Config{
-		Instance: name, Zone: name, PeerAddr: name, Peers: peerDialer{c, caller}, Leaders: peerDialer{c, caller}, Store: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
+		Instance: name, Zone: name, PeerAddr: name, Peers: peerDialer{c, caller}, Leaders: peerDialer{c, caller}, Store: c.store.Client(caller), TopicEnds: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
 		DecodeWorker: crankadapter.DecodeWorker, DecodeOperator: decodeOperator, Bounds: leaseBounds, StoreLimits: c.storeLimits, ResultRetention: 2 * time.Minute, ProcessorShare: 0.8, MemoryMiB: c.memory,
 		Uptime: func() time.Duration { return time.Since(c.started) },
 		Logger: slog.New(slowHandler{slog.NewTextHandler(logOutput, nil), c, caller}).With("instance", caller), Scope: tally.NoopScope,
--- a/proofs/crankentryproof/fuzz_test.go
+++ b/proofs/crankentryproof/fuzz_test.go
@@ -39,7 +39,7 @@
 		} else if crank.KindOf(err) != crank.KindInvalid {
 			t.Fatal(err)
 		}
-		list := crankfleet.NewList(crankadapter.DecodeWorker, 0, logger)
+		list := crankfleet.NewList(crankfleet.ListConfig{Decode: crankadapter.DecodeWorker, Logger: logger})
 		list.Reset([]crank.KeyedRecord{good, r})
 		list.Apply([]crank.KeyedRecord{r})
 		if _, listed := list.Entries()["w1"]; key != "w1" && !listed {
--- a/proofs/crankentryproof/http_test.go
+++ b/proofs/crankentryproof/http_test.go
@@ -64,6 +64,36 @@
 	is.Equal(newest.End, crank.Offset(120))
 }
 
+// The end of a topic must be told at any offset, also one that the store has dropped,
+// and without the records before it.
+func TestTopicEndOverHTTP(t *testing.T) {
+	is := is.New(t)
+	fake := crankfakestore.New()
+	handler, longest := crankfakeplatform.StoreHandler(fake), 0
+	store := crankadapter.NewStore(crankadapter.NewClient(), serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, r)
+		longest = max(longest, answer.Body.Len())
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes()) // the caller may have gone
+	})))
+	for i, from := range []crank.Offset{0, 20, 40, 40} {
+		for range 20 {
+			fake.Put(crank.WorkerTopic, "w1", make([]byte, 300))
+		}
+		if i == 2 {
+			fake.Compact()
+		}
+		end, err := store.End(t.Context(), crank.WorkerTopic, from)
+		is.NoErr(err)
+		is.Equal(end, crank.Offset(20*(i+1)))
+	}
+	is.True(longest < 2048)
+	fake.SetFaults(func(string, string) crankfakestore.Fault { return crankfakestore.Fault{Refuse: true} })
+	_, err := store.End(t.Context(), crank.WorkerTopic, 0)
+	is.True(err != nil)
+}
+
 // An append that the store refuses for good must not be taken for one whose outcome
 // is unknown, which is repeated, nor a full store for one that may have appended.
 func TestRefusedAppendIsNotTakenForUnknown(t *testing.T) {
--- a/proofs/crankentryproof/odd_entry_test.go
+++ b/proofs/crankentryproof/odd_entry_test.go
@@ -127,7 +127,7 @@
 }
 
 func newWorkerList() *crankfleet.List {
-	return crankfleet.NewList(crankadapter.DecodeWorker, 0, slog.New(slog.NewTextHandler(io.Discard, nil)))
+	return crankfleet.NewList(crankfleet.ListConfig{Decode: crankadapter.DecodeWorker, Logger: slog.New(slog.NewTextHandler(io.Discard, nil))})
 }
 
 // bornAt returns the entry of a worker with a start time, or without one if it is empty.
--- a/standin/crankfakeplatform/store.go
+++ b/standin/crankfakeplatform/store.go
@@ -23,6 +23,12 @@
 // externalTopics maps the platform's names of the topics that instances only read.
 var externalTopics = map[string]crank.Topic{"op": crank.OperatorTopic, "servers": crank.WorkerTopic}
 
+// Sizes of the answer to a read.
+const (
+	defaultReadKiB    = 1024
+	recordLengthBytes = 4
+)
+
 // pageSize is the number of newest records per page.
 const pageSize = 50
 
@@ -123,7 +129,11 @@
 	}
 	out := binary.BigEndian.AppendUint64(nil, uint64(b.End))
 	out = binary.BigEndian.AppendUint64(out, uint64(b.First))
-	for _, rec := range b.Records {
+	limit := 1024 * int(intParam(r, "max_read_kb", defaultReadKiB))
+	for i, rec := range b.Records {
+		if n := rec.EncodedBytes() - 1 + recordLengthBytes; i > 0 && len(out)+n > limit {
+			break
+		}
 		out = binary.BigEndian.AppendUint32(out, uint32(1+len(rec.Key)+len(rec.Value)))
 		out = append(out, byte(len(rec.Key)))
 		out = append(out, rec.Key...)
--- a/standin/crankfakestore/store.go
+++ b/standin/crankfakestore/store.go
@@ -21,7 +21,7 @@
 	MissWakeups  time.Duration // a waiting read misses an append this soon after its start, until the next one
 }
 
-// Faults chooses the fault of a call (append, read or newest) by the caller's name.
+// Faults chooses the fault of a call (append, read, end or newest) by the caller's name.
 type Faults func(caller, call string) Fault
 
 // RecordFaults returns an error if the store refuses every append with a record, or nil.
@@ -213,13 +213,16 @@
 	return s.limits.Check(records...)
 }
 
-// Client implements crank.Store for one caller.
+// Client implements crank.Store and crank.TopicEnds for one caller.
 type Client struct {
 	store *Store
 	name  string
 }
 
-var _ crank.Store = (*Client)(nil)
+var (
+	_ crank.Store     = (*Client)(nil)
+	_ crank.TopicEnds = (*Client)(nil)
+)
 
 // Client returns a client whose calls pass the given name to Faults.
 func (s *Store) Client(name string) *Client { return &Client{store: s, name: name} }
@@ -314,6 +317,20 @@
 	}
 }
 
+// End implements crank.TopicEnds.
+func (c *Client) End(ctx context.Context, name crank.Topic, _ crank.Offset) (crank.Offset, error) {
+	f, err := c.beforeCall(ctx, "end")
+	if err != nil {
+		return 0, err
+	}
+	if f.DropResponse || f.EffectDelay > 0 {
+		return 0, awaitCancel(ctx)
+	}
+	c.store.mu.Lock()
+	defer c.store.mu.Unlock()
+	return c.store.topic(name).end(), nil
+}
+
 // Newest implements crank.Store.
 func (c *Client) Newest(ctx context.Context, name crank.Topic) (crank.KeyedBatch, error) {
 	f, err := c.beforeCall(ctx, "newest")
--- a/store.go
+++ b/store.go
@@ -112,6 +112,13 @@
 	Newest(ctx context.Context, topic Topic) (KeyedBatch, error)
 }
 
+// TopicEnds tells where topics of the platform's store end.
+type TopicEnds interface {
+	// End returns the offset of the next record of a topic. From is any offset up to
+	// there; the store does least work for a late one.
+	End(ctx context.Context, topic Topic, from Offset) (Offset, error)
+}
+
 // SequenceError is the cause of a rejected append if the store expects another
 // sequence number from the producer. Nothing was appended.
 type SequenceError struct{ Expected int64 }
