Start orders are bound to one incarnation of a worker

Cause: a start order names only the worker's ID, which the next incarnation keeps, and its deadline is a time on a clock that begins anew there, so nothing in the order keeps it from taking effect at the wrong incarnation.

What remains late are orders that the incarnation has received. They end with it: "A worker may start again under the `id` that it had. It then holds and knows nothing of before" (PROTOCOL.md). TestStartOrderEndsWithTheWorkersProcess shows it with real processes: an order in the socket of a stopped process, which is then killed, reaches no process that starts at the address later, after the call or during it.

Tests: TestStartOrderReachesNoLaterIncarnation failed before (the next incarnation took the repeated order). The stand-in of the fleet had late orders outlive the incarnation that had received them, which the sentence excludes; that option goes. In its place orders may be on their way for a while and reach whichever incarnation is up then (Fault.TransitTime), drawn in TestOrderOfWorkerAndLeaderEvents and in two variants of TestLateOrderAfterAnUnseenRestartRunsOnce, which fail if starts reach any incarnation (lease_expired_on_the_way).

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -119,7 +119,7 @@
 		ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
 		reply, err = client.Start(ctx, order)
 		cancel()
-		if kind := crank.KindOf(err); err == nil || kind == crank.KindUnavailable || kind == crank.KindRefused || kind == crank.KindNotFound || kind == crank.KindInvalid {
+		if kind := crank.KindOf(err); err == nil || (kind != crank.KindUnknown && kind != crank.KindFenced) {
 			return reply, uncertain, err
 		}
 		uncertain = true
@@ -148,7 +148,7 @@
 	case err == nil && reply.Refusal == crank.RefusalFence:
 		s.Leadership.Resign("worker " + p.worker.entry.ID + " has seen a higher fence")
 		why = "the fence was refused"
-	case kind == crank.KindNotFound:
+	case kind == crank.KindNotFound || kind == crank.KindConflict:
 		why = "the worker's life is over"
 	case uncertain:
 		s.Logger.Warn("sched: start without an answer", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "until", p.conclusiveAfter, "last-refusal", reply.Refusal, "error", err)
--- a/lease.go
+++ b/lease.go
@@ -107,11 +107,13 @@
 // LeasedWorker is one incarnation of a worker with one lease and one fencing
 // token for all of its tasks. Errors of KindUnavailable mean that the order had
 // no effect, KindRefused that in addition no process listens at the worker's address, so
-// that nothing runs there, KindNotFound that this incarnation has ended and no other has
-// taken the order, and KindConflict that it has ended and the next one under the same ID
-// has taken it. After others the order may take effect, even seconds later. Orders may
-// reach a later incarnation under the same ID; only a RenewReport shows which one
-// answered, also beside KindConflict.
+// that nothing runs there, KindNotFound that this incarnation has ended, and KindConflict
+// that it has ended and the next one under the same ID has answered. After others the
+// order may take effect, even seconds later.
+//
+// Start takes effect at this incarnation or nowhere. Stop and Renew may take effect at a
+// later one under the same ID; the report of a renewal then shows its start time beside
+// KindConflict.
 type LeasedWorker interface {
 	Start(ctx context.Context, o RunOrder) (OrderReply, error)
 	Stop(ctx context.Context, o StopOrder) (OrderReply, error)
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -11,6 +11,9 @@
 func (c *client) Start(ctx context.Context, o crank.RunOrder) (crank.OrderReply, error) {
 	var reply crank.OrderReply
 	err := c.call(ctx, "start", func(w *worker) error {
+		if w.entry.StartTimeMs != c.entry.StartTimeMs {
+			return crank.Fail("worker start", crank.KindConflict, "the worker restarted at %d", w.entry.StartTimeMs)
+		}
 		reply = w.start(o)
 		return nil
 	})
