No run is held for a worker's next incarnation

A start order takes effect at the incarnation that it was sent to or nowhere, so that the runs of one that has ended can be released at once.

What remains: inherited runs wait for the next incarnation's report, since instances of earlier versions send orders that are not bound to one.

--- a/internal/crankfleet/keeper.go
+++ b/internal/crankfleet/keeper.go
@@ -92,13 +92,6 @@
 	return k.workerClock + (age + d).Milliseconds()
 }
 
-// MayLast records that the lease may last for a duration from now on.
-func (k *LeaseKeeper) MayLast(d time.Duration) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.mayLastUntil(time.Now().Add(time.Duration(float64(d)*clockDrift) + leaseMargin))
-}
-
 func (k *LeaseKeeper) mayLastUntil(expiry time.Time) {
 	if expiry.After(k.leaseExpiry) {
 		k.leaseExpiry = expiry
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -97,8 +97,6 @@
 func (s *Scheduler) sendStart(p *placement) {
 	t := p.task
 	t.job.ordered = true
-	p.calling = true
-	p.worker.keeper.MayLast(startTries*startTimeout + s.Bounds.MaxLease) // at a later incarnation
 	p.state, p.conclusiveAfter, p.startedAt = stateOrdered, p.worker.keeper.DeadlineAfter(s.startWindow()), time.Now()
 	s.priorityScope(t.job.spec.Priority).Timer("place_wait").Record(time.Since(t.waitingSince))
 	order := crank.RunOrder{Task: p.id, Run: p.run, Payload: t.job.spec.Payload, Checkpoint: t.checkpoint, Fence: s.Term, DeadlineMs: p.conclusiveAfter}
@@ -130,10 +128,6 @@
 // handleStartReply keeps the placement of an uncertain start until a report shows
 // whether the run exists.
 func (s *Scheduler) handleStartReply(p *placement, reply crank.OrderReply, uncertain bool, err error) {
-	p.calling, p.uncertain = false, uncertain
-	if uncertain {
-		s.noteUnanswered(p, time.Now())
-	}
 	if p.worker.placements[p.id] != p {
 		return // a report has already resolved it
 	}
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -23,11 +23,8 @@
 	}
 	w.failedRenewals, w.refusals = 0, 0
 	s.resumeExtending(w)
-	var held []*placement
-	first := !w.answered
-	if first {
+	if !w.answered {
 		w.answered = true
-		held = s.takeHeld(w)
 		s.roster.add(w)
 		s.changed = true
 	}
@@ -54,10 +51,6 @@
 			s.release(p, "not listed by its worker")
 		}
 	}
-	if first {
-		s.refuseHeld(w, held)
-		s.refuseUnanswered(w, time.Now())
-	}
 	if len(r.Ended) > 0 {
 		s.acks[w] = w.lastEnd
 	}
@@ -106,17 +99,12 @@
 }
 
 // handleProcessEnd releases the runs of a worker at whose address no process listens.
-// An order that is still on its way may reach a process that starts there meanwhile.
 func (s *Scheduler) handleProcessEnd(w *worker) {
 	s.Logger.Info("sched: worker process ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "listed", w.unlistedSince.IsZero(),
 		"draining", w.entry.Draining, "lost", len(w.placements))
 	s.markAccounted(w.incarnation)
-	for _, former := range append(s.restarted[w.entry.ID], w) {
-		for _, p := range former.placements {
-			if !p.calling {
-				s.release(p, "worker process ended")
-			}
-		}
+	for _, p := range w.placements {
+		s.release(p, "worker process ended")
 	}
 }
 
@@ -208,7 +196,6 @@
 	if p.run != a.Run {
 		return
 	}
-	p.listed = true
 	if p.state == stateOrdered {
 		s.confirmStart(p, r.ClockMs)
 	}
@@ -287,3 +274,10 @@
 	}
 	return e.Job.Steps[id.Step].ReservedCapacity()
 }
+
+// hasEnded reports whether an error of a renewal shows that the incarnation has ended,
+// and whether the worker has started again under its ID.
+func hasEnded(err error) (ended, restarted bool) {
+	kind := crank.KindOf(err)
+	return kind == crank.KindNotFound || kind == crank.KindConflict, kind == crank.KindConflict
+}
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -28,8 +28,8 @@
 //   - A lease that this planner no longer extends counts as expired only once its term
 //     is known to have been the newest after that time. Until then a later planner may
 //     have extended the lease, and the tasks run on.
-//   - An order for an incarnation that has ended may take effect at the next one under the
-//     same ID. Its task is started elsewhere only after the next one has reported.
+//   - A start order takes effect at the incarnation that it was sent to or nowhere
+//     (crank.LeasedWorker), so that nothing runs for an incarnation that has ended.
 //   - Run numbers grow with the term, so that no number is used twice.
 //   - A run whose order got no answer keeps its capacity until a report made
 //     after the order expired does not list it.
@@ -121,10 +121,8 @@
 	dirty             map[string]*job    // progress to be stored
 	acks              map[*worker]int64  // last ended run to acknowledge after the next write
 	roster            roster
-	restarted         map[string][]*worker         // ended incarnations with held runs, by worker ID
-	unanswered        map[string][]unansweredOrder // by worker ID
-	unaccounted       map[string]time.Time         // incarnations of the inherited roster whose runs are not yet known, and when their leases have expired
-	askedRoster       bool                         // the incarnations of the inherited roster that are not listed are asked for their runs
+	unaccounted       map[string]time.Time // incarnations of the inherited roster whose runs are not yet known, and when their leases have expired
+	askedRoster       bool                 // the incarnations of the inherited roster that are not listed are asked for their runs
 	writing           bool
 	writeBegun        time.Time
 	retryAt           time.Time
@@ -163,8 +161,6 @@
 		dirty:       make(map[string]*job),
 		acks:        make(map[*worker]int64),
 		roster:      newRoster(),
-		restarted:   make(map[string][]*worker),
-		unanswered:  make(map[string][]unansweredOrder),
 		unaccounted: make(map[string]time.Time),
 		health:      make(map[string]*workerHealth),
 		dropped:     make(map[string]bool),
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -22,8 +22,7 @@
 	refusals         int       // in a row, of connections to its address
 	ending           bool      // its lease is not extended
 	endingStored     bool      // a roster that says so may be stored
-	ended            bool      // nothing runs there, but see restart.go
-	heldUntil        time.Time // of an ended one: when none of its orders can be in effect any more
+	ended            bool      // nothing runs there
 	unlistedSince    time.Time // zero while it is listed
 	lastEnd          int64     // number of the last handled end
 	placements       map[crank.TaskID]*placement
@@ -53,9 +52,6 @@
 	state           runState
 	conclusiveAfter int64 // worker's clock; a later report without the run proves that it does not exist
 	startedAt       time.Time
-	calling         bool      // the start order is on its way
-	uncertain       bool      // a try of the start order got no answer
-	listed          bool      // by a report of its worker
 	endBy           time.Time // when a run of a finished gang is stopped if it has not ended by itself
 	stopRetryAt     time.Time
 	reason          string // of the stop
@@ -115,7 +111,7 @@
 		}
 		if w.ended {
 			delete(s.workers, id)
-			if _, ok := s.unaccounted[w.incarnation]; !ok && len(w.placements) == 0 {
+			if _, ok := s.unaccounted[w.incarnation]; !ok {
 				s.roster.remove(w.incarnation)
 			}
 		}
@@ -170,6 +166,12 @@
 	s.Logger.Warn("sched: history of the worker list not read in time", "from", from, "next", next)
 }
 
+// askNext asks the next incarnation of a worker for its runs before it is listed.
+func (s *Scheduler) askNext(w *worker, startTimeMs int64) {
+	s.addWorker(crank.WorkerEntry{ID: w.entry.ID, StartTimeMs: startTimeMs, Addr: w.entry.Addr})
+	s.workers[w.entry.ID].unlistedSince = time.Now()
+}
+
 // addWorker starts to renew the lease of a new incarnation.
 func (s *Scheduler) addWorker(e crank.WorkerEntry) {
 	ctx, stop := context.WithCancel(s.ctx)
@@ -193,7 +195,8 @@
 }
 
 // endIncarnation releases all runs of an incarnation that has ended. If the worker has
-// started again, those whose order may reach its next incarnation are held.
+// started again, it is accounted for once its next incarnation has reported: instances of
+// earlier versions did not bind their orders to an incarnation.
 func (s *Scheduler) endIncarnation(w *worker, reason string, restarted bool) {
 	w.stop()
 	w.ended = true
@@ -203,12 +206,7 @@
 		s.markAccounted(w.incarnation)
 	}
 	for _, p := range w.placements {
-		if !restarted || !s.mayReachNext(p) {
-			s.release(p, "worker incarnation ended")
-		}
-	}
-	if len(w.placements) > 0 {
-		s.hold(w, time.Now())
+		s.release(p, "worker incarnation ended")
 	}
 	delete(s.acks, w)
 	s.changed = true
@@ -246,7 +244,6 @@
 			}
 		}
 	}
-	s.checkHeld(now)
 	for _, w := range s.workers {
 		if w.ended {
 			continue
