A leader does not take a record that it can't read for none

An instance that could not read the newest progress of a job, or the newest roster, ignored the record, led on what it had read before or on nothing, and ran tasks again that were done or ran elsewhere. A version that is rolled back would meet such records.

The planner's records carry a format number now, and a reader refuses a later one. An instance does not lead if a later version has written the progress of a job that has not ended, or if the roster can't be read: it yields the term to an instance that may be of that version, or tries again after 5 s. A job whose progress is malformed is not run; all others are.

--- a/internal/crankjobs/record.go
+++ b/internal/crankjobs/record.go
@@ -40,8 +40,13 @@
 	OutcomeCancelled Outcome = "cancelled"
 )
 
+// recordFormat is the format of the planner's records that this version writes. It reads
+// that and all earlier ones. A change that an earlier version would misread raises it.
+const recordFormat = 1
+
 // Progress is the planner's record of a job.
 type Progress struct {
+	Format      int             `json:"format,omitempty"`
 	Term        int64           `json:"term"`                  // of the planner that wrote it
 	Claimed     bool            `json:"claimed,omitempty"`     // tasks may have been started, see MayRun
 	Begun       bool            `json:"begun,omitempty"`       // a start was ordered
@@ -101,6 +106,7 @@
 
 // Roster lists the worker incarnations that may have been sent orders.
 type Roster struct {
+	Format       int      `json:"format,omitempty"`
 	Term         int64    `json:"term"`
 	Incarnations []string `json:"lives"`
 	Addrs        []string `json:"addrs,omitempty"` // of the incarnations, in the same order
@@ -186,6 +192,7 @@
 // then failures, that make it too large for the store: their tasks start from the
 // beginning, or get more attempts, under a later term.
 func ProgressRecord(id string, p Progress) (crank.KeyedRecord, error) {
+	p.Format = recordFormat
 	if (len(p.Checkpoints)+len(p.Failures))*minEntryBytes <= maxProgressBytes {
 		if r, err := encode(progressPrefix+id, p); err != nil || len(r.Value) <= maxProgressBytes {
 			return r, err
@@ -220,7 +227,10 @@
 }
 
 // RosterRecord returns the record of the roster.
-func RosterRecord(r Roster) (crank.KeyedRecord, error) { return encode(rosterKey, r) }
+func RosterRecord(r Roster) (crank.KeyedRecord, error) {
+	r.Format = recordFormat
+	return encode(rosterKey, r)
+}
 
 // TermRecord returns the first record of a planner's term. It carries no state;
 // an instance that has read it has read all records of earlier terms.
--- a/internal/crankjobs/state.go
+++ b/internal/crankjobs/state.go
@@ -17,6 +17,8 @@
 	Job            crank.StepJob
 	Submitted      bool // false while only its progress or cancellation was read
 	Progress       Progress
+	Unreadable     bool  // the newest record of its progress can't be read, so that its tasks must not be started
+	later          bool  // that record was written by a later version
 	Revision       int64 // of the state in which the job last changed
 	cancelOffset   crank.Offset
 	progressOffset crank.Offset
@@ -60,9 +62,10 @@
 	// RosterSeen is when this instance read the roster.
 	RosterSeen time.Time
 
-	reserved  int64 // sum of the jobs'
-	jobs      *immutable.Map[string, RecordedJob]
-	instances *immutable.Map[string, seenAnnouncement]
+	rosterUnreadable bool  // the newest roster can't be read
+	reserved         int64 // sum of the jobs'
+	jobs             *immutable.Map[string, RecordedJob]
+	instances        *immutable.Map[string, seenAnnouncement]
 }
 
 // NewState returns the state of an empty topic.
@@ -104,6 +107,21 @@
 // Len returns the number of jobs, submitted or not.
 func (s State) Len() int { return s.jobs.Len() }
 
+// Leadable returns an error if the records don't tell a leader what may run: the roster
+// can't be read, or a later version has written the progress of a job that has not ended.
+func (s State) Leadable() error {
+	const op = "fact decode"
+	if s.rosterUnreadable {
+		return crank.Fail(op, crank.KindInvalid, "the roster can't be read")
+	}
+	for i := s.jobs.Iterator(); !i.Done(); {
+		if id, j, _ := i.Next(); j.later && !j.Ended() {
+			return crank.Fail(op, crank.KindInvalid, "a later version has written the progress of job %s", id)
+		}
+	}
+	return nil
+}
+
 // EndedBefore returns the IDs of jobs whose end this instance read before a time.
 func (s State) EndedBefore(t time.Time) []string {
 	var ids []string
@@ -117,17 +135,18 @@
 }
 
 // With returns the state after a record. A record that can't be decoded gives an
-// error and changes nothing but the revision.
+// error. It changes nothing but the revision, and that the progress of its job, or the
+// roster, is unreadable.
 func (s State) With(r crank.KeyedRecord, now time.Time) (State, error) {
 	s.Revision++
 	prefix, id := splitKey(r.Key)
 	if prefix == rosterKey {
 		var roster Roster // decoding into that of s would change its list in earlier states
-		if err := decode(r.Value, &roster); err != nil {
-			return s, err
+		err := decodeVersioned(r.Value, &roster, &roster.Format)
+		if s.rosterUnreadable = err != nil; err == nil {
+			s.Roster, s.RosterSeen = roster, now
 		}
-		s.Roster, s.RosterSeen = roster, now
-		return s, nil
+		return s, err
 	}
 	if prefix == termKey {
 		return s, nil
@@ -144,6 +163,7 @@
 	}
 	j.Revision = s.Revision
 	before := j.reserved()
+	var failure error
 	switch {
 	case len(r.Value) == 0 && prefix == jobPrefix:
 		s.jobs = s.jobs.Delete(id)
@@ -167,19 +187,32 @@
 		j.cancelOffset = r.Offset
 	case prefix == progressPrefix:
 		var p Progress
-		if err := decode(r.Value, &p); err != nil {
-			return s, err
+		failure = decodeVersioned(r.Value, &p, &p.Format)
+		j.later = p.Format > recordFormat
+		if j.Unreadable = failure != nil; failure == nil {
+			j.Progress, j.progressOffset = p, r.Offset
 		}
-		j.Progress, j.progressOffset = p, r.Offset
 	}
 	if j.Ended() && j.endSeen.IsZero() {
 		j.endSeen = now
 	}
 	s.jobs = s.jobs.Set(id, j)
 	s.reserved += j.reserved() - before
-	return s, nil
+	return s, failure
 }
 
 func decode(value []byte, to any) error {
 	return crank.Wrap("fact decode", crank.KindInvalid, json.Unmarshal(value, to))
 }
+
+// decodeVersioned decodes a record, whose format is in the given field of it, and refuses
+// one of a later version.
+func decodeVersioned(value []byte, to any, format *int) error {
+	if err := decode(value, to); err != nil {
+		return err
+	}
+	if *format > recordFormat {
+		return crank.Fail("fact decode", crank.KindInvalid, "the record has format %d, this version reads %d", *format, recordFormat)
+	}
+	return nil
+}
--- a/internal/crankjobs/state_test.go
+++ b/internal/crankjobs/state_test.go
@@ -40,3 +40,50 @@
 	is.True(err != nil)
 	is.Equal(third.Roster, second.Roster)
 }
+
+// A leader that could not read the newest progress of a job, as that of a later version
+// which was rolled back, ran its completed tasks again.
+func TestUnreadableProgressIsNotTakenForNone(t *testing.T) {
+	is := is.New(t)
+	job, err := SubmissionRecord(crank.StepJob{ID: "job1", Steps: []crank.Step{{Tasks: 2}}})
+	is.NoErr(err)
+	read := func(s State, r crank.KeyedRecord, readable bool) State {
+		next, err := s.With(r, time.Now())
+		is.Equal(err == nil, readable)
+		e, _ := next.Job("job1")
+		is.Equal(e.Unreadable, !readable)
+		return next
+	}
+	for value, leadable := range map[string]bool{`{"format":2,"term":1,"claimed":true}`: false, `{"done":7}`: true, `?`: true} {
+		progress, err := ProgressRecord("job1", Progress{Term: 1, Claimed: true})
+		is.NoErr(err)
+		s := read(read(NewState(), job, true), progress, true)
+		s = read(s, crank.KeyedRecord{Key: progress.Key, Value: []byte(value)}, false)
+		e, _ := s.Job("job1")
+		is.True(e.Progress.Claimed) // what was read before is kept
+		is.Equal(s.Leadable() == nil, leadable)
+		cancelled, err := s.With(CancellationRecord("job1"), time.Now())
+		is.NoErr(err)
+		is.NoErr(cancelled.Leadable())
+		read(s, progress, true)
+	}
+}
+
+// A leader that could not read the newest roster took the workers of none, or of an earlier
+// one, for all that may have runs.
+func TestUnreadableRosterIsNotTakenForNone(t *testing.T) {
+	is := is.New(t)
+	roster, err := RosterRecord(Roster{Term: 1, Incarnations: []string{"w1/7"}})
+	is.NoErr(err)
+	for _, value := range []string{`{"format":2,"term":1,"lives":[]}`, `{"lives":7}`, `?`} {
+		s, err := NewState().With(roster, time.Now())
+		is.NoErr(err)
+		s, err = s.With(crank.KeyedRecord{Key: rosterKey, Value: []byte(value)}, time.Now())
+		is.True(err != nil)
+		is.True(s.Leadable() != nil)
+		is.Equal(s.Roster.Incarnations, []string{"w1/7"})
+		s, err = s.With(roster, time.Now())
+		is.NoErr(err)
+		is.NoErr(s.Leadable())
+	}
+}
--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -62,7 +62,10 @@
 		case known && e.Cancelled() && !j.cancelled:
 			j.cancelled = true
 			s.Logger.Info("sched: job cancelled", "job", j.spec.ID, "running", j.placed)
-		case !known && !e.Ended() && !s.dropped[e.Job.ID]:
+		case known || e.Ended() || s.dropped[e.Job.ID]:
+		case e.Unreadable:
+			s.Logger.Error("sched: job not run, its progress can't be read", "job", e.Job.ID)
+		default:
 			s.addJob(e, atTakeover)
 		}
 	}
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -103,6 +103,7 @@
 	sweepPeriod       = 5 * time.Second         // between removals of old records
 	clockDriftFactor  = 1.03                    // a worker's clock may be 2% slow
 	takeoverMargin    = 1 * time.Second         // added before orders of earlier terms count as expired
+	unreadableRetry   = 5 * time.Second         // before a term is claimed again that could not be taken over
 	maxWriteQueueTime = 1 * time.Second         // a write that is not in a batch by then is refused
 	inboxSize         = 256
 )
@@ -233,6 +234,14 @@
 	if err != nil {
 		return false
 	}
+	if err := view.State.Leadable(); err != nil {
+		s.Logger.Error("sched: term not taken over", "term", s.Term, "error", err)
+		if !s.Leadership.Yield(err.Error()) {
+			crankfeed.Sleep(ctx, unreadableRetry)
+			s.Leadership.Resign(err.Error())
+		}
+		return false
+	}
 	s.roster.load(view.State.Roster)
 	longest := time.Now().Add(s.Overlap + s.leaseTime(s.Bounds.MaxLease))
 	for incarnation := range s.roster.addrs {
