proofs: events of the store and of all instances in the drawn order

TestOrderOfWorkerAndLeaderEvents draws also instances that are cut off from the store or isolated, a slow store, lost and late answers of the store, a dropped history, and the end of all instances at once.

--- a/proofs/crankentryproof/event_order_test.go
+++ b/proofs/crankentryproof/event_order_test.go
@@ -71,7 +71,15 @@
 	"next order meets a restart": func(p *play, e event) {
 		p.update(func() { p.trap = &e })
 	},
-	"leader is killed":    func(p *play, e event) { p.loseLeader(e, p.kill) },
+	"leader is killed": func(p *play, e event) { p.loseLeader(e, p.kill) },
+	"all instances are killed": func(p *play, e event) {
+		for _, name := range instanceNames {
+			if p.running[name] != nil {
+				p.kill(name)
+			}
+		}
+		p.later(e.lasts/4, p.ensureAllRunning)
+	},
 	"leader is shut down": func(p *play, e event) { p.loseLeader(e, p.shutDown) },
 	"leader is cut off from the store": func(p *play, e event) {
 		if name := p.leader(); name != "" {
@@ -79,6 +87,39 @@
 			p.later(e.lasts, p.reconnect)
 		}
 	},
+	"instance is cut off from the store": func(p *play, e event) {
+		name := instanceNames[e.worker%len(instanceNames)]
+		if p.running[name] != nil {
+			p.cutFromStore(name)
+			p.later(e.lasts, p.reconnect)
+		}
+	},
+	"instance is isolated": func(p *play, e event) {
+		name := instanceNames[e.worker%len(instanceNames)]
+		if p.running[name] != nil {
+			p.isolate(name)
+			p.later(e.lasts, p.reconnect)
+		}
+	},
+	"store is slow": func(p *play, e event) {
+		p.update(func() {
+			p.storeFaults = func(_, _ string) crankfakestore.Fault { return crankfakestore.Fault{Delay: e.late / 10} }
+		})
+		p.later(e.lasts, func() { clearStoreFaults(p.cluster) })
+	},
+	"answers of the store are lost": func(p *play, e event) {
+		calls := 0
+		p.update(func() {
+			p.storeFaults = func(_, call string) crankfakestore.Fault {
+				if calls++; calls%3 > 0 {
+					return crankfakestore.Fault{}
+				}
+				return crankfakestore.Fault{DropResponse: call != "append" || e.slow < 300*time.Millisecond, EffectDelay: e.late}
+			}
+		})
+		p.later(e.lasts, func() { clearStoreFaults(p.cluster) })
+	},
+	"history of the store is dropped": func(p *play, _ event) { p.store.Compact() },
 	"store is down": func(p *play, e event) {
 		p.update(func() {
 			p.storeFaults = func(_, _ string) crankfakestore.Fault { return crankfakestore.Fault{Refuse: true} }
