Start orders need an answer that shows the incarnation

A renewal's answer without the worker's start time was taken for one of the incarnation that was meant, so that a start order could follow on an unverified connection.

--- a/proofs/crankentryproof/order_connection_test.go
+++ b/proofs/crankentryproof/order_connection_test.go
@@ -108,6 +108,7 @@
 	}{
 		{"another_worker", status(http.StatusMisdirectedRequest, `{}`), crank.KindNotFound},
 		{"unhealthy", status(http.StatusServiceUnavailable, `{}`), crank.KindUnavailable},
+		{"unnamed", status(http.StatusOK, `{"clock_ms":7,"active":[],"finished":[]}`), crank.KindUnavailable},
 		{"unreadable", status(http.StatusOK, `?`), crank.KindUnavailable},
 		{"closing", func(rw http.ResponseWriter, _ *http.Request) {
 			rw.Header().Set("Connection", "close")
