A leader that can write to the store but not read it gives the term up

A leader whose appends succeed but whose reads don't, not through another instance either, kept the term for good: its heartbeats told all others that it was well, and it planned on the jobs that it had read last.

The planner compares when the store last took a heartbeat with how current its jobs are. Behind by more than 2.5 s it plans nothing; after 2 s more it yields the term. In an outage of the store neither advances, and planning goes on, since nothing can be cancelled then.

--- a/internal/cranklead/elector.go
+++ b/internal/cranklead/elector.go
@@ -99,6 +99,7 @@
 	heartbeat    heartbeatRecord
 	holderSeen   time.Time     // time of the last heartbeat or claim, or when the topic became readable again
 	storeReached time.Duration // uptime when the store last answered
+	appendedAt   time.Time     // when it last answered an append
 	loaded       bool
 	lastRead     time.Time // when the topic was last read to its end
 	currentAt    time.Time // a time at which the topic as last read was current
@@ -277,7 +278,7 @@
 	_, err = e.Store.Append(callCtx, crank.StoreAppend{Topic: crank.TermTopic, Records: []crank.KeyedRecord{{Key: key, Value: value}}, ExpectedEnd: at})
 	if err == nil {
 		e.mu.Lock()
-		e.storeReached = e.Uptime()
+		e.storeReached, e.appendedAt = e.Uptime(), time.Now()
 		e.mu.Unlock()
 	}
 	return err
--- a/internal/cranklead/held_term.go
+++ b/internal/cranklead/held_term.go
@@ -23,6 +23,13 @@
 // that no later holder can have acted before t.
 func (h *HeldTerm) ConfirmedAfter(t time.Time) bool { return h.elector.newestAt(h.Number).After(t) }
 
+// AppendedAt returns when the store last took a heartbeat of this instance.
+func (h *HeldTerm) AppendedAt() time.Time {
+	h.elector.mu.Lock()
+	defer h.elector.mu.Unlock()
+	return h.elector.appendedAt
+}
+
 // Resign gives the term up on evidence that another instance holds a newer one.
 func (h *HeldTerm) Resign(reason string) { h.elector.resign(h.Number, reason) }
 
--- a/internal/cranksched/bench_test.go
+++ b/internal/cranksched/bench_test.go
@@ -87,6 +87,9 @@
 // Yield implements Leadership.
 func (invalidTerm) Yield(string) bool { return false }
 
+// AppendedAt implements Leadership.
+func (invalidTerm) AppendedAt() time.Time { return time.Time{} }
+
 // BenchmarkOverloadedRound measures a planning round in a burst: patient tasks fill all
 // workers, and most of the waiting urgent gangs find too little to preempt on one rack.
 func BenchmarkOverloadedRound(b *testing.B) {
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -55,6 +55,8 @@
 	Valid() bool
 	// ConfirmedAfter reports whether no later term had begun at some time after t.
 	ConfirmedAfter(t time.Time) bool
+	// AppendedAt returns when the store last took a heartbeat of the term.
+	AppendedAt() time.Time
 	// Resign gives the term up.
 	Resign(reason string)
 	// Yield gives the term up in favour of another instance, unless that happened not
@@ -104,6 +106,8 @@
 	clockDriftFactor  = 1.03                    // a worker's clock may be 2% slow
 	takeoverMargin    = 1 * time.Second         // added before orders of earlier terms count as expired
 	unreadableRetry   = 5 * time.Second         // before a term is claimed again that could not be taken over
+	maxViewLag        = 2500 * time.Millisecond // of the job topic as read behind the store; cancelled tasks may be started until then
+	maxBlindTime      = 2 * time.Second         // beyond maxViewLag, before the term is given up
 	maxWriteQueueTime = 1 * time.Second         // a write that is not in a batch by then is refused
 	inboxSize         = 256
 )
@@ -147,6 +151,7 @@
 	nextGaugeUpdate time.Time
 	priorities      map[int]bool // seen on jobs, for resetting their gauges to 0
 
+	blind    bool                 // see checkView
 	unread   map[string]unreadJob // by job ID
 	heldBack bool                 // occurrences are due that memory has no room for
 }
@@ -283,16 +288,18 @@
 // iterate applies external changes, runs a planning round if one is due and
 // writes the results.
 func (s *Scheduler) iterate() {
-	if state := s.Jobs.View().State; state.Revision != s.revision {
-		s.syncJobs(state, false)
+	view := s.Jobs.View()
+	if view.State.Revision != s.revision {
+		s.syncJobs(view.State, false)
 	}
 	now := time.Now()
+	s.checkView(view.AsOf)
 	s.syncWorkers(now)
 	if now.Sub(s.timeoutsCheckedAt) >= tick {
 		s.timeoutsCheckedAt = now
 		s.checkTimeouts(now)
 	}
-	if s.changed && s.Leadership.Valid() && time.Since(s.roundAt) >= minRoundGap {
+	if s.changed && !s.blind && s.Leadership.Valid() && time.Since(s.roundAt) >= minRoundGap {
 		s.changed = false
 		begun := time.Now()
 		s.round()
@@ -304,3 +311,17 @@
 	s.sweep()
 	s.updateGauges(now)
 }
+
+// checkView stops planning while the store takes this instance's records, but the job topic
+// can't be read: cancellations would be missed. If that lasts, the term is given up. In an
+// outage of the store nothing is cancelled, so that planning goes on.
+func (s *Scheduler) checkView(asOf time.Time) {
+	lag := s.Leadership.AppendedAt().Sub(asOf)
+	if blind := lag > maxViewLag; blind != s.blind {
+		s.blind, s.changed = blind, true
+		s.Logger.Warn("sched: planning while the job topic is read", "planning", !blind, "lag", lag.Round(time.Millisecond))
+	}
+	if reason := "the job topic can't be read"; lag > maxViewLag+maxBlindTime && !s.Leadership.Yield(reason) {
+		s.Leadership.Resign(reason)
+	}
+}
