A worker that has restarted and then left holds up no task

Accepted tasks stood for 17 s after a hand-over if their worker had restarted and its next incarnation had left before the new leader reached it.

The end of an incarnation now accounts for those before it: if no process listens at its address, if it is over, or if the history of the list shows that a later one has left.

Both variants of TestWorkerThatRestartedAndLeftHoldsUpNoTask failed before.

--- a/internal/crankfleet/departure.go
+++ b/internal/crankfleet/departure.go
@@ -18,16 +18,18 @@
 // lock.
 func (l *List) noteLeft(e crank.WorkerEntry, written, removed crank.Offset) {
 	if e.Draining && l.Timeline.StoredWithin(written, removed, missedHeartbeats*l.Heartbeat-heartbeatMargin) {
-		l.left[Incarnation(e)] = true
+		l.left[e.ID] = max(l.left[e.ID], e.StartTimeMs)
 		l.Logger.Info("list: worker has left", "worker", e.ID, "born", e.StartTimeMs, "written", written, "removed", removed)
 	}
 }
 
-// HasLeft reports whether an incarnation has shut down in order.
-func (l *List) HasLeft(incarnation string) bool {
+// HasLeft reports whether an incarnation, or a later one of the same worker, has shut down
+// in order.
+func (l *List) HasLeft(id string, startTimeMs int64) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.left[incarnation]
+	newest, ok := l.left[id]
+	return ok && startTimeMs <= newest
 }
 
 // ReadHistory notes which workers have left according to consecutive records of the
--- a/internal/crankfleet/list.go
+++ b/internal/crankfleet/list.go
@@ -40,14 +40,14 @@
 	version int64                        // see Version
 
 	offsets map[string]crank.Offset // of the newest entry by worker ID
-	left    map[string]bool         // see HasLeft
+	left    map[string]int64        // start time of the newest incarnation that has left, by worker ID
 }
 
 // NewList returns an empty list.
 func NewList(c ListConfig) *List {
 	return &List{
 		ListConfig: c, entries: make(map[string]crank.WorkerEntry), started: make(map[string]int64), earlier: make(map[string]int64),
-		offsets: make(map[string]crank.Offset), left: make(map[string]bool),
+		offsets: make(map[string]crank.Offset), left: make(map[string]int64),
 	}
 }
 
--- a/internal/crankfleet/timeline_test.go
+++ b/internal/crankfleet/timeline_test.go
@@ -139,8 +139,8 @@
 			f.uptime += 1500*time.Millisecond + v.suspended
 			applied.Apply(records[1:])
 			read.ReadHistory(records)
-			is.Equal(applied.HasLeft("w1/7"), v.left)
-			is.Equal(read.HasLeft("w1/7"), v.left)
+			is.Equal(applied.HasLeft("w1", 7), v.left)
+			is.Equal(read.HasLeft("w1", 7), v.left)
 		})
 	}
 }
@@ -161,8 +161,10 @@
 		{Key: "unreadable", Value: []byte("?"), Offset: 12}, {Key: "unreadable", Offset: 13}, {Key: "unseen", Offset: 13},
 		{Key: "ready", Offset: 14}, {Key: "left", Offset: 15}, {Key: "silent", Offset: 16},
 	})
-	is.True(list.HasLeft("left/7"))
-	for _, incarnation := range []string{"silent/7", "ready/7", "unreadable/7", "unseen/7"} {
-		is.True(!list.HasLeft(incarnation))
+	is.True(list.HasLeft("left", 7))
+	is.True(list.HasLeft("left", 6)) // an earlier incarnation
+	is.True(!list.HasLeft("left", 8))
+	for _, id := range []string{"silent", "ready", "unreadable", "unseen"} {
+		is.True(!list.HasLeft(id, 7))
 	}
 }
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -79,6 +79,18 @@
 	}
 }
 
+// accountForEnded handles the end of an incarnation, which shows that those before it have
+// ended too.
+func (s *Scheduler) accountForEnded(w *worker) {
+	s.markAccounted(w.incarnation)
+	for _, former := range s.roster.formerOf(w) {
+		if _, started, _ := crankfleet.ParseIncarnation(former); started < w.entry.StartTimeMs {
+			s.markAccounted(former)
+			s.roster.remove(former)
+		}
+	}
+}
+
 // handleRenewError handles a failed renewal. The start time is that of the incarnation
 // that answered, or 0.
 func (s *Scheduler) handleRenewError(w *worker, startTimeMs int64, err error) {
@@ -114,7 +126,7 @@
 func (s *Scheduler) handleProcessEnd(w *worker) {
 	s.Logger.Info("sched: worker process ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "listed", w.unlistedSince.IsZero(),
 		"draining", w.entry.Draining, "lost", len(w.placements))
-	s.markAccounted(w.incarnation)
+	s.accountForEnded(w)
 	for _, p := range w.placements {
 		s.release(p, "worker process ended")
 	}
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -105,7 +105,7 @@
 		}
 		switch {
 		case w.ended:
-		case w.failedRenewals > 0 && s.list.HasLeft(w.incarnation):
+		case w.failedRenewals > 0 && s.list.HasLeft(id, w.entry.StartTimeMs):
 			s.endIncarnation(w, "it has left", false)
 		case w.failedRenewals > 0 && now.Sub(w.unlistedSince) > unlistedGrace && (w.refusals >= minRefusals || s.leaseExpired(w, now)):
 			s.endIncarnation(w, "no longer listed", false)
@@ -204,7 +204,7 @@
 	s.Logger.Info("sched: worker incarnation ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "reason", reason, "lost", len(w.placements),
 		"listed", w.unlistedSince.IsZero(), "draining", w.entry.Draining, "answered", w.answered, "failed-holds", w.failedRenewals, "lease-left", s.leaseLeft(w, time.Now()).Round(time.Millisecond))
 	if !restarted {
-		s.markAccounted(w.incarnation)
+		s.accountForEnded(w)
 	}
 	for _, p := range w.placements {
 		s.release(p, "worker incarnation ended")
--- a/proofs/crankentryproof/worker_restart_test.go
+++ b/proofs/crankentryproof/worker_restart_test.go
@@ -6,6 +6,7 @@
 
 	crank "cranberrycrank"
 	"cranberrycrank/standin/crankfakefleet"
+	"cranberrycrank/standin/crankfakeplatform"
 
 	"github.com/matryer/is"
 )
@@ -119,3 +120,49 @@
 		c.awaitPhase("a", "patient", "job1", crank.PhaseCompleted, 20*time.Second)
 	})
 }
+
+// Tasks of a worker that had restarted and then left, both before the next leader reached
+// it, were held for 17 s: only an answer of the next incarnation accounted for the former.
+func TestWorkerThatRestartedAndLeftHoldsUpNoTask(t *testing.T) {
+	for _, v := range []struct {
+		name string
+		end  func(c *cluster, worker string)
+	}{
+		{"process_ended", func(c *cluster, worker string) {
+			var e crank.WorkerEntry
+			c.update(func() { e = c.workerEntries[worker] })
+			c.store.Put(crank.WorkerTopic, worker, crankfakeplatform.EncodeEntry(e))
+			c.leave(worker)
+		}},
+		{"left", func(c *cluster, worker string) {
+			c.drain(worker)
+			time.Sleep(time.Second)
+			c.losePower(worker)
+			c.removeEntry(worker)
+		}},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.setUp(8)
+				time.Sleep(settled)
+				log := c.recordStarts()
+				id := crank.TaskID{Job: "job1"}
+				is.NoErr(c.submit("a", "patient", "job1", independentTasks(16, 20*time.Second)))
+				time.Sleep(time.Second)
+				worker, term := log.workerOf(id), c.termNumber()
+				time.AfterFunc(100*time.Millisecond, func() { c.losePower(worker) })
+				time.AfterFunc(200*time.Millisecond, func() {
+					c.update(func() { c.unreachable[worker] = true })
+					c.restart(worker)
+					v.end(c, worker)
+					c.update(func() { delete(c.unreachable, worker) })
+				})
+				c.kill(c.leader())
+				c.awaitTermAfter(term)
+				time.Sleep(4 * time.Second)
+				is.True(log.workerOf(id) != worker)
+			})
+		})
+	}
+}
