--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -187,10 +187,11 @@
 
 func workerID(i int) string { return fmt.Sprintf("w%02d", i) }
 
-func (c *cluster) addWorker(i int) {
-	rack := fmt.Sprintf("r%d", i/4)
+func (c *cluster) addWorker(i int) { c.startWorker(i, fmt.Sprintf("z%d", i%3), fmt.Sprintf("r%d", i/4)) }
+
+func (c *cluster) startWorker(i int, zone, rack string) {
 	e := c.fleet.Add(crank.WorkerEntry{
-		ID: workerID(i), Pool: "desk", Addr: "192.0.2.1:8080", Zone: fmt.Sprintf("z%d", i%3), Rack: rack, Labels: []string{"a", rack},
+		ID: workerID(i), Pool: "desk", Addr: "192.0.2.1:8080", Zone: zone, Rack: rack, Labels: []string{"a", rack},
 		Capacity: crank.Demand{MilliCores: 32000, MemoryMiB: 65536, Accelerators: 8},
 	})
 	c.update(func() { c.workerEntries[e.ID] = e })
