sched: the line of a standing job tells what it lacks

The line now has how many tasks must start together, how many fit on one rack and on all, and the share in use; two reasons are added; workers without new tasks are counted by reason; rounds that delay the next one are logged (hypothesis C).

--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -80,7 +80,7 @@
 	slices.Sort(ids)
 	for _, id := range ids {
 		w := s.workers[id]
-		workers[w.entry.Pool] = append(workers[w.entry.Pool], s.capacityOf(w, s.schedulable(w, evacuatedZones, now)))
+		workers[w.entry.Pool] = append(workers[w.entry.Pool], s.capacityOf(w, s.unschedulableWhy(w, evacuatedZones, now) == ""))
 	}
 	pools := make(map[string]*crankpack.Pool, len(workers))
 	for name, poolWorkers := range workers {
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -104,6 +104,7 @@
 	minRoundGap       = 10 * time.Millisecond   // between rounds, so that one round handles several events
 	roundSpacing      = 5                       // from start to start, in durations of a round: rounds take at most 1/5 of the time
 	usualRoundTime    = 200 * time.Millisecond  // a round that takes longer may have been held up
+	roundLogPeriod    = 1 * time.Second         // between lines about slow rounds
 	maxRoundGrowth    = 2                       // from one round to the next; what is longer is taken for a standstill
 	startTimeout      = 600 * time.Millisecond  // of one try of a start order
 	startTries        = 2                       // if no answer comes
@@ -153,6 +154,7 @@
 	changed           bool          // a planning round is needed
 	roundAt           time.Time     // when the next round may begin
 	roundTime         time.Duration // of rounds, without standstills of the instance
+	roundLogAt        time.Time     // when the next slow round may be logged
 	sweepAt           time.Time
 	listVersion       int64 // last applied
 	syncedAt          time.Time
@@ -335,12 +337,22 @@
 		s.Scope.Timer("round").Record(took)
 		s.roundTime = min(took, max(maxRoundGrowth*s.roundTime, usualRoundTime))
 		s.roundAt = begun.Add(took + (roundSpacing-1)*s.roundTime)
+		s.logSlowRound(begun, took)
 	}
 	s.write()
 	s.sweep()
 	s.updateGauges(now)
 }
 
+// logSlowRound logs a round after which the next one has to wait.
+func (s *Scheduler) logSlowRound(begun time.Time, took time.Duration) {
+	if took < usualRoundTime || begun.Before(s.roundLogAt) {
+		return
+	}
+	s.roundLogAt = begun.Add(roundLogPeriod)
+	s.Logger.Info("sched: slow round", "took", took.Round(time.Millisecond), "next-in", time.Until(s.roundAt).Round(time.Millisecond), "jobs", len(s.jobs), "workers", len(s.workers))
+}
+
 // checkView stops planning while the store takes this instance's records, but the job topic
 // can't be read: cancellations would be missed. If that lasts, the term is given up. In an
 // outage of the store nothing is cancelled, so that planning goes on.
--- a/internal/cranksched/standing.go
+++ b/internal/cranksched/standing.go
@@ -16,6 +16,10 @@
 	since  time.Time
 	worker string    // incarnation that is waited for, or empty
 	until  time.Time // when the wait for that worker ends at the latest
+
+	// for lack of capacity
+	waiting *task
+	room    room
 }
 
 type standingReason string
@@ -27,8 +31,13 @@
 	standsStore    standingReason = "the store does not answer"
 	standsBlind    standingReason = "the job topic is not read"
 	standsCapacity standingReason = "no capacity"
+	standsRack     standingReason = "room on several racks only"
+	standsReserved standingReason = "room that other work waits for"
 )
 
+// standingReasons holds all reasons.
+var standingReasons = []standingReason{standsHeld, standsSilent, standsStore, standsBlind, standsCapacity, standsRack, standsReserved}
+
 // Limits of the lines about jobs that stand.
 const (
 	standingLogDelay = 2 * time.Second  // a job that stands longer is logged
@@ -66,7 +75,7 @@
 	case waiting == nil:
 		return standing{}, false
 	}
-	st := standing{job: j, task: waiting.id, why: standsCapacity, since: waiting.waitingSince}
+	st := standing{job: j, task: waiting.id, why: standsCapacity, since: waiting.waitingSince, waiting: waiting}
 	switch {
 	case s.isHeld(waiting):
 		st.why = standsHeld
@@ -95,8 +104,9 @@
 
 // updateStanding logs which jobs stand and why, and counts them.
 func (s *Scheduler) updateStanding(now time.Time) {
-	count := map[standingReason]int{standsHeld: 0, standsSilent: 0, standsStore: 0, standsBlind: 0, standsCapacity: 0}
+	count := make(map[standingReason]int)
 	var lines []standing
+	rooms := newRoomFinder(s, now)
 	for _, j := range s.jobs {
 		if j.ending() {
 			continue
@@ -105,6 +115,10 @@
 		if !ok {
 			continue
 		}
+		if st.why == standsCapacity && now.Sub(st.since) >= standingLogDelay {
+			st.room = rooms.find(st.waiting)
+			st.why = st.room.reason()
+		}
 		count[st.why]++
 		if now.Sub(st.since) < standingLogDelay || now.Sub(j.standingLogged) < standingLogAgain || len(lines) == maxStandingLines {
 			continue
@@ -112,9 +126,10 @@
 		j.standingLogged = now
 		lines = append(lines, st)
 	}
-	for why, n := range count {
-		s.Scope.Tagged(map[string]string{"why": string(why)}).Gauge("jobs_standing").Update(float64(n))
+	for _, why := range standingReasons {
+		s.Scope.Tagged(map[string]string{"why": string(why)}).Gauge("jobs_standing").Update(float64(count[why]))
 	}
+	unschedulable := s.countUnschedulable(now)
 	among := slices.Sorted(maps.Keys(s.unaccounted))
 	unaccounted := len(among)
 	among = among[:min(unaccounted, maxNamedWorkers)]
@@ -131,8 +146,14 @@
 			if st.worker != "" {
 				attrs = append(attrs, "worker", st.worker, "until", st.until.Sub(now).Round(time.Millisecond))
 			}
+			if st.room.tasks > 0 {
+				attrs = append(attrs, "tasks", st.room.tasks, "fit-rack", st.room.Rack, "fit", st.room.Pool, "in-use", st.room.inUse)
+			}
 			s.Logger.Info("sched: job stands", attrs...)
 		}
+		if len(lines) > 0 && len(unschedulable) > 0 {
+			s.Logger.Info("sched: workers without new tasks", "why", unschedulable)
+		}
 		if count[standsHeld] > 0 {
 			s.Logger.Warn("sched: workers not accounted for yet", "jobs", count[standsHeld], "workers", unaccounted, "among", among,
 				"term-age", termAge, "longest", longest.Sub(now).Round(time.Millisecond))
