--- a/internal/cranksched/bench_test.go
+++ b/internal/cranksched/bench_test.go
@@ -34,6 +34,7 @@
 		}
 		w := &worker{entry: e, incarnation: crankfleet.Incarnation(e), answered: true, placements: make(map[crank.TaskID]*placement)}
 		s.workers[e.ID], s.roster.addrs[w.incarnation], s.roster.stored[w.incarnation] = w, e.Addr, true
+		s.roster.numbered[w.incarnation] = true
 	}
 	busy := s.benchJob("running", int(designTasks*share), crank.Demand{MilliCores: 5000, MemoryMiB: 100})
 	for i, t := range busy.open[0].tasks {
@@ -114,6 +115,7 @@
 			}
 			w := &worker{entry: e, incarnation: crankfleet.Incarnation(e), answered: true, placements: make(map[crank.TaskID]*placement)}
 			s.workers[e.ID], s.roster.addrs[w.incarnation], s.roster.stored[w.incarnation] = w, e.Addr, true
+			s.roster.numbered[w.incarnation] = true
 		}
 		busy := s.benchJob("running", 8*workers, crank.Demand{MilliCores: 2800, MemoryMiB: 11000, Accelerators: 1})
 		for i, t := range busy.open[0].tasks {
