sched: a gang waits for a rack no longer than its tasks lose on several

Cause: one rack is a preference (off it tasks take cross-rack-slowdown times as long), but only work within a guarantee ever left it. Any other gang waited for one whole rack without bound, and went elsewhere only if no rack would be large enough were it empty. That counted workers that are draining, silent or evacuated, and what tasks hold that last. A reservation counted the same, and chose among equal racks by ID, as the tasks that last had done before it: it kept workers free on a rack that never became free.

Change: a gang that fits on no rack is placed on several after 1.2 s while less than half of the pool is in use, or if no rack becomes free by itself; else once it has waited for as long as its tasks lose there. Reservations take workers that may get tasks and capacity that no task holds that lasts, where runs end first. The factor is a setting, cross-rack-slowdown.

--- a/internal/crankpack/fit.go
+++ b/internal/crankpack/fit.go
@@ -22,11 +22,13 @@
 	return f
 }
 
-// InUse returns the share of the pool's capacity that is in use, of the resource that is
-// used most.
-func (p *Pool) InUse() float64 {
+// InUse returns the share of the pool's capacity that was in use when the pool was made,
+// of the resource that is used most.
+func (p *Pool) InUse() float64 { return p.inUse }
+
+func shareInUse(workers []*WorkerCapacity) float64 {
 	var free, total crank.Demand
-	for _, w := range p.Workers {
+	for _, w := range workers {
 		free, total = free.Plus(w.Free), total.Plus(w.Total)
 	}
 	inUse := 0.0
--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -5,7 +5,9 @@
 package crankpack
 
 import (
+	"cmp"
 	"slices"
+	"time"
 
 	crank "cranberrycrank"
 )
@@ -19,6 +21,8 @@
 	Total          crank.Demand
 	Free           crank.Demand   // not held by any run
 	Future         crank.Demand   // Free plus what runs that are being stopped hold
+	Eventual       crank.Demand   // Total less what long-running tasks hold
+	EventualIn     time.Duration  // until the other runs are expected to have ended
 	Schedulable    bool           // new tasks may be started
 	HasLatencyTask bool           // runs a task with a latency target
 	HasBestEffort  bool           // runs a best-effort task
@@ -39,15 +43,17 @@
 
 // Kinds of capacity.
 const (
-	FreeCapacity   CapacityKind = iota // WorkerCapacity.Free
-	FutureCapacity                     // WorkerCapacity.Future
-	TotalCapacity                      // WorkerCapacity.Total, as if nothing ran
+	FreeCapacity     CapacityKind = iota // WorkerCapacity.Free
+	FutureCapacity                       // WorkerCapacity.Future
+	EventualCapacity                     // WorkerCapacity.Eventual
+	TotalCapacity                        // WorkerCapacity.Total, as if nothing ran
 )
 
 // Pool is the capacity of all workers of a pool during a planning round.
 type Pool struct {
 	Workers     []*WorkerCapacity
 	racks       [][]*WorkerCapacity
+	inUse       float64
 	unplaceable map[equivalenceClass]bool // requests that did not fit; stays valid, because capacity only shrinks during a round
 }
 
@@ -88,7 +94,7 @@
 
 // NewPool returns a pool that shares the given workers.
 func NewPool(workers []*WorkerCapacity) *Pool {
-	p := &Pool{Workers: workers, unplaceable: make(map[equivalenceClass]bool)}
+	p := &Pool{Workers: workers, inUse: shareInUse(workers), unplaceable: make(map[equivalenceClass]bool)}
 	index := make(map[string]int)
 	for _, w := range workers {
 		key := w.Zone + "\x00" + w.Rack
@@ -107,6 +113,8 @@
 	switch k {
 	case FutureCapacity:
 		return w.Future
+	case EventualCapacity:
+		return w.Eventual
 	case TotalCapacity:
 		return w.Total
 	}
@@ -151,6 +159,10 @@
 func (w *WorkerCapacity) Allocate(q Request) {
 	need := q.Step.ReservedCapacity()
 	w.Free, w.Future = w.Free.Minus(need), w.Future.Minus(need)
+	if q.Step.LongRunning {
+		w.Eventual = w.Eventual.Minus(need)
+	}
+	w.EventualIn = max(w.EventualIn, q.Step.RunTime)
 	if w.TasksByStep == nil {
 		w.TasksByStep = make(map[string]int)
 	}
@@ -159,13 +171,22 @@
 	w.HasBestEffort = w.HasBestEffort || q.Step.BestEffort
 }
 
+// Reserve is like Allocate for a task that waits for running tasks to end.
+func (w *WorkerCapacity) Reserve(q Request) {
+	need := q.Step.ReservedCapacity()
+	w.Free, w.Future, w.Eventual = w.Free.Minus(need), w.Future.Minus(need), w.Eventual.Minus(need)
+}
+
 // byBestFit orders workers by failures, then by available accelerators and cores, the
-// least first.
+// least first. For EventualCapacity the wait goes before these.
 func byBestFit(k CapacityKind) func(a, b *WorkerCapacity) int {
 	return func(a, b *WorkerCapacity) int {
 		if a.FailureCount != b.FailureCount {
 			return a.FailureCount - b.FailureCount
 		}
+		if k == EventualCapacity && a.EventualIn != b.EventualIn {
+			return cmp.Compare(a.EventualIn, b.EventualIn)
+		}
 		x, y := a.available(k), b.available(k)
 		if x.Accelerators != y.Accelerators {
 			return x.Accelerators - y.Accelerators
@@ -199,23 +220,46 @@
 		return placeBestFit(p.Workers, q, k)
 	}
 	var best []*WorkerCapacity
-	leastRemaining := 0.0
+	var least rackCost
 	for _, rack := range p.racks {
 		workers := placeBestFit(rack, q, k)
 		if workers == nil {
 			continue
 		}
-		if remaining := remainingCores(rack, k); best == nil || remaining < leastRemaining {
-			best, leastRemaining = workers, remaining
+		cost := rackCost{remaining: remainingCores(rack, k)}
+		if k == EventualCapacity {
+			cost.wait = longestWait(workers)
+		}
+		if best == nil || cost.less(least) {
+			best, least = workers, cost
 		}
 	}
 	return best
 }
 
-// PlaceAcrossRacks is like Place but ignores SameRack and DataRack, as a last resort
-// for gangs that fit on no single rack.
-func (p *Pool) PlaceAcrossRacks(q Request, k CapacityKind) []*WorkerCapacity {
-	return placeBestFit(p.Workers, q, k)
+// rackCost is what decides between racks on which a request fits: how long it waits there,
+// then the available cores of the rack.
+type rackCost struct {
+	wait      time.Duration
+	remaining float64
+}
+
+func (c rackCost) less(o rackCost) bool {
+	return c.wait < o.wait || (c.wait == o.wait && c.remaining < o.remaining)
+}
+
+func longestWait(workers []*WorkerCapacity) time.Duration {
+	longest := time.Duration(0)
+	for _, w := range workers {
+		longest = max(longest, w.EventualIn)
+	}
+	return longest
+}
+
+// AcrossRacks returns the request for workers of any racks.
+func (q Request) AcrossRacks() Request {
+	q.Step.SameRack, q.Step.DataRack = false, ""
+	return q
 }
 
 func (p *Pool) rack(name string) []*WorkerCapacity {
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -10,7 +10,8 @@
 // Parameters of the placement policy.
 const (
 	lateFactor             = 3                       // after so many times its objective a job is worth nothing more and ranks last
-	crossRackWait          = 1200 * time.Millisecond // a guaranteed gang that waits longer for a rack is placed on several
+	crossRackWait          = 1200 * time.Millisecond // a gang that waits longer for a rack may be placed on several
+	idleShare              = 0.5                     // in use; a pool below has room for tasks that take longer
 	longRunningOverdueTime = 2 * time.Second         // a long-running task that waits longer goes first, also before reservations
 	reservationWait        = 1500 * time.Millisecond // a gang that waits longer reserves capacity
 	avoidTime              = 2 * time.Second         // how long a waiting task avoids workers where it failed
@@ -92,17 +93,21 @@
 func (s *Scheduler) capacityOf(w *worker, schedulable bool) *crankpack.WorkerCapacity {
 	e := w.entry
 	c := &crankpack.WorkerCapacity{
-		Worker: e.ID, Zone: e.Zone, Rack: e.Rack, Labels: e.Labels, Total: e.Capacity, Free: e.Capacity, Future: e.Capacity,
+		Worker: e.ID, Zone: e.Zone, Rack: e.Rack, Labels: e.Labels, Total: e.Capacity, Free: e.Capacity, Future: e.Capacity, Eventual: e.Capacity,
 		Schedulable: schedulable, TasksByStep: make(map[string]int), FailureCount: s.failureCount(w),
 	}
 	for _, p := range w.placements {
 		c.Free = c.Free.Minus(p.demand)
 		if p.state != stateStopping {
 			c.Future = c.Future.Minus(p.demand)
+			c.EventualIn = max(c.EventualIn, p.timeLeft())
 		}
 		if p.step == nil {
 			continue
 		}
+		if p.step.LongRunning && p.state != stateStopping {
+			c.Eventual = c.Eventual.Minus(p.demand)
+		}
 		c.TasksByStep[p.stepKey]++
 		c.HasLatencyTask = c.HasLatencyTask || p.step.Latency > 0
 		c.HasBestEffort = c.HasBestEffort || p.step.BestEffort
@@ -110,57 +115,73 @@
 	return c
 }
 
-// placeGang starts a gang if all of it fits now. Otherwise, in this order, it waits
-// for capacity that is being freed, preempts other work, is placed on several racks
-// if it is guaranteed, or reserves capacity. A SameRack gang too large for any empty
-// rack is placed on several.
+// timeLeft returns when a run is expected to end, 0 if it runs until its job is cancelled.
+func (p *placement) timeLeft() time.Duration {
+	if p.step == nil || p.step.LongRunning {
+		return 0
+	}
+	return time.Duration(float64(p.step.RunTime) * (1 - p.percent/100))
+}
+
+// placeGang starts a gang if all of it fits now. Otherwise, in this order, it waits for
+// capacity that is being freed, preempts other work, leaves its rack if it may, or reserves
+// capacity. A SameRack gang too large for any empty rack is placed on several.
 func (s *Scheduler) placeGang(u unit, pool *crankpack.Pool, reservations map[string]int, known *preemptions, now time.Time) {
-	q := u.request(u.tasks, now)
-	place := pool.Place
+	q, waited := u.request(u.tasks, now), now.Sub(u.waitingSince)
 	if u.step.SameRack && pool.Place(q, crankpack.TotalCapacity) == nil {
-		place = pool.PlaceAcrossRacks
-		q.Step.SameRack = false
-	}
-	if chosen := place(q, crankpack.FreeCapacity); chosen != nil {
-		s.allocateAndStart(u.tasks, chosen, q)
-		return
+		q = q.AcrossRacks()
 	}
-	if chosen := place(q, crankpack.FutureCapacity); chosen != nil {
-		allocate(chosen, q)
+	if s.placeGangNow(u, pool, q, known, u.mayPreempt()) {
 		return
 	}
-	if u.mayPreempt() && s.preempt(u, pool, q, known) {
-		if chosen := place(q, crankpack.FutureCapacity); chosen != nil {
-			allocate(chosen, q)
-		}
+	if q.Step.SameRack && s.mayCrossRacks(u, pool, q, waited) && s.placeGangNow(u, pool, q.AcrossRacks(), known, u.rank == rankGuaranteed) {
 		return
 	}
-	if u.rank == rankGuaranteed && u.step.SameRack && now.Sub(u.waitingSince) > crossRackWait {
-		s.placeGangAcrossRacks(u, pool, q, known)
-		return
-	}
-	if now.Sub(u.waitingSince) > reservationWait && u.rank != rankLate && reservations[u.job.spec.Pool] < maxReservations {
-		if chosen := place(q, crankpack.TotalCapacity); chosen != nil {
-			reservations[u.job.spec.Pool]++
-			allocate(chosen, q)
-		}
+	if waited > reservationWait && u.rank != rankLate && reservations[u.job.spec.Pool] < maxReservations && reserve(pool, q) {
+		reservations[u.job.spec.Pool]++
 	}
 }
 
-// placeGangAcrossRacks places a guaranteed gang on several racks: the guarantee
-// matters more than the time that its tasks lose there.
-func (s *Scheduler) placeGangAcrossRacks(u unit, pool *crankpack.Pool, q crankpack.Request, known *preemptions) {
-	q.Step.SameRack = false
-	if chosen := pool.PlaceAcrossRacks(q, crankpack.FreeCapacity); chosen != nil {
+// placeGangNow starts a gang, or has it wait for runs that are being stopped. It reports
+// false if it can do neither.
+func (s *Scheduler) placeGangNow(u unit, pool *crankpack.Pool, q crankpack.Request, known *preemptions, mayPreempt bool) bool {
+	if chosen := pool.Place(q, crankpack.FreeCapacity); chosen != nil {
 		s.allocateAndStart(u.tasks, chosen, q)
-		return
+		return true
 	}
-	if pool.PlaceAcrossRacks(q, crankpack.FutureCapacity) == nil && !s.preempt(u, pool, q, known) {
-		return
+	chosen := pool.Place(q, crankpack.FutureCapacity)
+	if chosen == nil && !(mayPreempt && s.preempt(u, pool, q, known)) {
+		return false
 	}
-	if chosen := pool.PlaceAcrossRacks(q, crankpack.FutureCapacity); chosen != nil {
-		allocate(chosen, q)
+	if chosen == nil {
+		chosen = pool.Place(q, crankpack.FutureCapacity)
+	}
+	allocate(chosen, q)
+	return true
+}
+
+// mayCrossRacks reports whether a gang that fits on no rack now is better placed on several:
+// its guarantee matters more than the time that its tasks lose there, the pool has room for
+// slower tasks, no rack becomes free by itself, or it has waited for as long as the tasks lose.
+func (s *Scheduler) mayCrossRacks(u unit, pool *crankpack.Pool, q crankpack.Request, waited time.Duration) bool {
+	if waited <= crossRackWait {
+		return false
+	}
+	lost := time.Duration((s.Bounds.CrossRackSlowdown - 1) * float64(u.step.RunTime))
+	return u.rank == rankGuaranteed || waited > lost || pool.InUse() < idleShare || pool.Place(q, crankpack.EventualCapacity) == nil
+}
+
+// reserve keeps workers free for a gang, those that become free first. It reports whether
+// there are any.
+func reserve(pool *crankpack.Pool, q crankpack.Request) bool {
+	chosen := pool.Place(q, crankpack.EventualCapacity)
+	if chosen == nil && q.Step.SameRack {
+		chosen = pool.Place(q.AcrossRacks(), crankpack.EventualCapacity)
+	}
+	for _, c := range chosen {
+		c.Reserve(q)
 	}
+	return chosen != nil
 }
 
 // placeTasks starts the tasks of a step that fit now. For others it waits for
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -23,7 +23,7 @@
 )
 
 // leaseBounds apply to the workers of a cluster unless a test says otherwise.
-var leaseBounds = crank.LeaseBounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Heartbeat: heartbeatInterval}
+var leaseBounds = crank.LeaseBounds{MaxLease: 6 * time.Second, StopTime: 200 * time.Millisecond, GangTimeout: 3 * time.Second, Heartbeat: heartbeatInterval, CrossRackSlowdown: 3}
 
 const (
 	heartbeatInterval = 1500 * time.Millisecond // between writes of a worker's entry
@@ -187,7 +187,9 @@
 
 func workerID(i int) string { return fmt.Sprintf("w%02d", i) }
 
-func (c *cluster) addWorker(i int) { c.startWorker(i, fmt.Sprintf("z%d", i%3), fmt.Sprintf("r%d", i/4)) }
+func (c *cluster) addWorker(i int) {
+	c.startWorker(i, fmt.Sprintf("z%d", i%3), fmt.Sprintf("r%d", i/4))
+}
 
 func (c *cluster) startWorker(i int, zone, rack string) {
 	e := c.fleet.Add(crank.WorkerEntry{
