pack: tasks fill racks one after the other

Between equally free workers the ID decided, so that tasks of whole workers, and each first task on an empty worker, were spread over the racks, and no rack stayed whole for a gang that needs one. The worker on the rack with the least left goes first now. TestTasksLeaveWholeRacksFree failed before.

--- a/internal/crankpack/pack_test.go
+++ b/internal/crankpack/pack_test.go
@@ -123,3 +123,20 @@
 	pool.Workers[0].Allocate(latency)
 	is.Equal(pool.Place(bestEffort, FreeCapacity), nil)
 }
+
+// Tasks that need whole workers took one on each rack.
+func TestTasksLeaveWholeRacksFree(t *testing.T) {
+	is := is.New(t)
+	total := crank.Demand{MilliCores: 8000, Accelerators: 8}
+	var workers []*WorkerCapacity
+	for i := range 8 {
+		workers = append(workers, &WorkerCapacity{Worker: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i%2), Total: total, Free: total, Future: total, Schedulable: true})
+	}
+	pool := NewPool(workers)
+	for _, accelerators := range []int{8, 1, 8} {
+		q := Request{StepKey: "s", Tasks: 1, Step: crank.Step{Demand: crank.Demand{Accelerators: accelerators}}}
+		pool.Place(q, FreeCapacity)[0].Allocate(q)
+	}
+	gang := Request{StepKey: "g", Tasks: 4, Step: crank.Step{Gang: true, SameRack: true, Demand: crank.Demand{Accelerators: 8}}}
+	is.Equal(len(pool.Place(gang, FreeCapacity)), 4)
+}
--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -28,6 +28,8 @@
 	HasBestEffort  bool           // runs a best-effort task
 	TasksByStep    map[string]int // by Request.StepKey
 	FailureCount   int            // recent failures; workers with fewer are preferred
+
+	rackCores float64 // available on the worker's rack, while a request is placed on any rack
 }
 
 // Request asks for workers for a number of tasks of one step.
@@ -178,7 +180,7 @@
 }
 
 // byBestFit orders workers by failures, then by available accelerators and cores, the
-// least first. For EventualCapacity the wait goes before these.
+// least first, also of their racks. For EventualCapacity the wait goes before these.
 func byBestFit(k CapacityKind) func(a, b *WorkerCapacity) int {
 	return func(a, b *WorkerCapacity) int {
 		if a.FailureCount != b.FailureCount {
@@ -191,7 +193,10 @@
 		if x.Accelerators != y.Accelerators {
 			return x.Accelerators - y.Accelerators
 		}
-		return x.MilliCores - y.MilliCores
+		if x.MilliCores != y.MilliCores {
+			return x.MilliCores - y.MilliCores
+		}
+		return cmp.Compare(a.rackCores, b.rackCores)
 	}
 }
 
@@ -217,7 +222,7 @@
 		}
 	}
 	if !q.Step.SameRack {
-		return placeBestFit(p.Workers, q, k)
+		return p.placeOnAnyRack(q, k)
 	}
 	var best []*WorkerCapacity
 	var least rackCost
@@ -237,6 +242,18 @@
 	return best
 }
 
+// placeOnAnyRack fills racks one after the other, so that others stay free for requests that
+// need a whole one.
+func (p *Pool) placeOnAnyRack(q Request, k CapacityKind) []*WorkerCapacity {
+	for _, rack := range p.racks {
+		remaining := remainingCores(rack, k)
+		for _, w := range rack {
+			w.rackCores = remaining
+		}
+	}
+	return placeBestFit(p.Workers, q, k)
+}
+
 // rackCost is what decides between racks on which a request fits: how long it waits there,
 // then the available cores of the rack.
 type rackCost struct {
