sched: a gang planned in part is given up whole

Class: a change applied to a part of a unit. Cause: the members of a gang are ordered once it is stored that all of them may run. If the worker of a member ended before that, only that member was released. The others kept their places and capacity: no order went out for a gang that was incomplete, and none was planned for one that was partly placed. A planned task also counted as running, so that the line on standing jobs left it out.

Change: releasing a planned member releases the others.

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -246,7 +246,6 @@
 	}
 	if p.state == statePlanned {
 		s.release(p, why)
-		s.abandonGang(p, why)
 		return
 	}
 	p.state, p.reason = stateStopping, why
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -338,7 +338,7 @@
 }
 
 // release frees the capacity of a run that no longer exists. Its task waits again
-// unless it is done.
+// unless it is done. The other members of a gang that is planned are released with it.
 func (s *Scheduler) release(p *placement, why string) {
 	delete(p.worker.placements, p.id)
 	s.changed = true
@@ -353,4 +353,7 @@
 	if why != "" {
 		s.Logger.Info("sched: run released", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "why", why)
 	}
+	if p.state == statePlanned {
+		s.abandonGang(p, why)
+	}
 }
