sched: a task that fails on several workers says nothing of them

Class: evidence about a request taken for evidence about a worker. Cause: a worker on which two jobs failed in a row got no tasks for 8 s, whatever else failed elsewhere. Jobs whose tasks always fail had all workers quarantined, and each failure after that did so again.

Change: a task that fails on a second worker is no longer counted for either, and a quarantine that rests on it ends. Failed runs quarantine at most a quarter of the workers of a pool; those that failed more are still chosen last.

Before the change the sound job of TestJobsThatAlwaysFailDoNotQuarantineThePool was queued after 3 s beside 8 idle workers. TestFailingWorkersAreQuarantinedBesideJobsThatAlwaysFail passes before and after it: workers that fail all that they start still get few tasks.

--- a/internal/cranksched/health.go
+++ b/internal/cranksched/health.go
@@ -7,14 +7,15 @@
 // workerHealth counts failures on one incarnation of a worker since its last
 // successful run.
 type workerHealth struct {
-	failedJobs  map[string]bool // jobs with a failed run
-	stalledRuns int             // runs stopped for lack of progress
+	failed      map[string]map[string]bool // by job, the tasks with a failed run; see failureKey
+	stalledRuns int                        // runs stopped for lack of progress
 }
 
 // Limits of worker health.
 const (
 	quarantineThreshold = 2                       // jobs that fail in a row until the worker is quarantined
 	quarantineTime      = 8 * time.Second         // how long the worker gets no new tasks
+	maxQuarantineShare  = 4                       // at most one of so many workers of a pool is quarantined for failed runs
 	stallTimeout        = 2500 * time.Millisecond // a run without progress for longer has stalled
 	stallPercents       = 6                       // or for the estimated time of so many percent, if that is longer
 )
@@ -22,7 +23,7 @@
 func (s *Scheduler) healthOf(w *worker) *workerHealth {
 	h := s.health[w.incarnation]
 	if h == nil {
-		h = &workerHealth{failedJobs: make(map[string]bool)}
+		h = &workerHealth{failed: make(map[string]map[string]bool)}
 		s.health[w.incarnation] = h
 	}
 	return h
@@ -33,21 +34,79 @@
 	if h == nil {
 		return 0
 	}
-	return len(h.failedJobs) + h.stalledRuns
+	return len(h.failed) + h.stalledRuns
 }
 
 func (s *Scheduler) recordSuccess(w *worker) {
 	delete(s.health, w.incarnation)
 }
 
+// failureKey identifies what fails together: a task, or a gang.
+func failureKey(t *task) string {
+	if t.step.Gang {
+		return stepKey(t)
+	}
+	return t.id.String()
+}
+
 // recordFailure counts a failed run and quarantines a worker on which several jobs
-// failed in a row.
-func (s *Scheduler) recordFailure(w *worker, job string) {
+// failed in a row. A task that fails on a second worker says nothing of either.
+//
+// Load pattern: a burst of jobs that can never be done fails on every worker.
+func (s *Scheduler) recordFailure(w *worker, t *task) {
+	key := failureKey(t)
+	if s.withdrawFailures(w, t, key) {
+		for _, m := range t.members() {
+			m.failsAnywhere = true
+		}
+	}
+	if t.failsAnywhere {
+		return
+	}
 	h := s.healthOf(w)
-	h.failedJobs[job] = true
-	if len(h.failedJobs) >= quarantineThreshold {
-		s.quarantine(w, "consecutive failed runs", len(h.failedJobs))
+	if h.failed[t.id.Job] == nil {
+		h.failed[t.id.Job] = make(map[string]bool)
+	}
+	h.failed[t.id.Job][key] = true
+	if len(h.failed) >= quarantineThreshold && s.mayQuarantine(w) {
+		s.quarantine(w, "consecutive failed runs", len(h.failed))
+	}
+}
+
+// withdrawFailures forgets that a task failed on other workers, ends the quarantines that
+// rest on that, and reports whether there were any.
+func (s *Scheduler) withdrawFailures(failedOn *worker, t *task, key string) (found bool) {
+	for _, w := range s.workers {
+		h := s.health[w.incarnation]
+		if w == failedOn || h == nil || !h.failed[t.id.Job][key] {
+			continue
+		}
+		found = true
+		if delete(h.failed[t.id.Job], key); len(h.failed[t.id.Job]) == 0 {
+			delete(h.failed, t.id.Job)
+		}
+		if len(h.failed) < quarantineThreshold && h.stalledRuns == 0 && time.Now().Before(w.quarantinedUntil) {
+			w.quarantinedUntil = time.Time{}
+			s.changed = true
+			s.Logger.Info("sched: quarantine ended", "worker", w.entry.ID, "task", t.id, "also-failed-on", failedOn.entry.ID)
+		}
+	}
+	return found
+}
+
+// mayQuarantine reports whether a worker may be quarantined beside the others of its pool.
+func (s *Scheduler) mayQuarantine(w *worker) bool {
+	all, quarantined, now := 0, 0, time.Now()
+	for _, other := range s.workers {
+		if other.ended || other.entry.Pool != w.entry.Pool {
+			continue
+		}
+		all++
+		if other != w && now.Before(other.quarantinedUntil) {
+			quarantined++
+		}
 	}
+	return quarantined < max(1, all/maxQuarantineShare)
 }
 
 func (s *Scheduler) quarantine(w *worker, why string, count int) {
--- /dev/null
+++ b/proofs/crankentryproof/quarantine_test.go
@@ -0,0 +1,60 @@
+package crankentryproof
+
+import (
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/standin/crankfakefleet"
+
+	"github.com/matryer/is"
+)
+
+// Jobs whose tasks fail everywhere had all workers quarantined, and sound jobs stood.
+func TestJobsThatAlwaysFailDoNotQuarantineThePool(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(8)
+		time.Sleep(settled)
+		c.fleet.UpdateConfig(func(f *crankfakefleet.Config) {
+			f.Fails = func(id crank.TaskID, _ int64, _ string) bool { return id.Job != "sound" }
+		})
+		for i := range 16 {
+			is.NoErr(c.submit("a", "patient", fmt.Sprintf("hopeless%d", i), independentTasks(4, 300*time.Millisecond)))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		is.NoErr(c.submit("a", "patient", "sound", independentTasks(4, time.Second)))
+		c.awaitPhase("a", "patient", "sound", crank.PhaseCompleted, 3*time.Second)
+	})
+}
+
+// Workers that fail all that they start are still quarantined while hopeless jobs come.
+func TestFailingWorkersAreQuarantinedBesideJobsThatAlwaysFail(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(8)
+		time.Sleep(settled)
+		var failed atomic.Int32
+		c.fleet.UpdateConfig(func(f *crankfakefleet.Config) {
+			f.Fails = func(id crank.TaskID, _ int64, worker string) bool {
+				sound := strings.HasPrefix(id.Job, "sound")
+				if sound && worker == "w00" {
+					failed.Add(1)
+				}
+				return !sound || worker == "w00"
+			}
+		})
+		for i := range 20 {
+			is.NoErr(c.submit("a", "patient", fmt.Sprintf("sound%d", i), independentTasks(2, 300*time.Millisecond)))
+			is.NoErr(c.submit("a", "patient", fmt.Sprintf("hopeless%d", i), independentTasks(1, 300*time.Millisecond)))
+			time.Sleep(400 * time.Millisecond)
+		}
+		for i := range 20 {
+			c.awaitPhase("a", "patient", fmt.Sprintf("sound%d", i), crank.PhaseCompleted, 5*time.Second)
+		}
+		is.True(failed.Load() <= 6) // two jobs, and one more after the quarantine
+	})
+}
