sched: a starved best-effort task does not quarantine its worker

Class: a state that is normal for one kind of work taken for a fault. Cause: best-effort tasks get the processor time that others leave. One without progress for 2.5 s was taken for a sign of a broken worker, which then got no tasks for 8 s, and the task did the same to the next worker.

Change: such a task still moves, but its worker stays in use.

--- a/internal/cranksched/health.go
+++ b/internal/cranksched/health.go
@@ -114,7 +114,8 @@
 	s.Logger.Warn("sched: worker quarantined", "worker", w.entry.ID, "why", why, "count", count, "for", quarantineTime)
 }
 
-// checkStalled stops a run that makes no progress and quarantines its worker.
+// checkStalled stops a run that makes no progress and quarantines its worker, unless
+// other tasks may have left it no processor time.
 func (s *Scheduler) checkStalled(p *placement, now time.Time) {
 	if p.state != stateRunning || p.task == nil || p.task.step.LongRunning || p.worker.failedRenewals > 0 || p.progressedAt.IsZero() {
 		return
@@ -123,9 +124,11 @@
 	if now.Sub(p.lastProgress()) < limit {
 		return
 	}
-	h := s.healthOf(p.worker)
-	h.stalledRuns++
-	s.quarantine(p.worker, "stalled run", h.stalledRuns)
+	if !p.step.BestEffort {
+		h := s.healthOf(p.worker)
+		h.stalledRuns++
+		s.quarantine(p.worker, "stalled run", h.stalledRuns)
+	}
 	s.Logger.Warn("sched: run stalled", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "percent", p.percent, "since", now.Sub(p.progressedAt))
 	p.task.avoidWorker(p.worker.entry.ID)
 	s.stopRun(p, "no progress")
