sched: a wait counts from a task's turn on

Cause: the wait of a task counted from when the planner first saw its job, also for tasks of later steps and of occurrences that came due later. A same-rack gang of a later step went across racks in its first round, reserved capacity at once and did not avoid workers.

Change: it counts from when the occurrence is due and the steps before are done. After a takeover a planner knows of steps that were done before only that it saw the job by then.

--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -47,7 +47,7 @@
 	lastRun      int64           // highest known number
 	checkpoint   string          // newest, or empty
 	avoided      map[string]bool // workers where it failed, stalled or was refused
-	waitingSince time.Time       // end of its last placement, or the job's firstSeen
+	waitingSince time.Time       // end of its last placement, or when its turn came, as far as this planner knows
 }
 
 // runsPerTerm is the number of run numbers that each term has for a task.
@@ -206,6 +206,7 @@
 	t.done = true
 	t.job.remaining--
 	t.occurrence.remaining--
+	t.occurrence.startWaits(t.id.Step, time.Now())
 	t.job.progress = t.job.progress.WithDone(t.ordinal, t.job.spec.TasksPerOccurrence())
 	delete(t.job.progress.Checkpoints, t.ordinal)
 	delete(t.job.progress.Failures, t.ordinal)
--- a/internal/cranksched/occurrence.go
+++ b/internal/cranksched/occurrence.go
@@ -127,6 +127,9 @@
 		done:         j.progress.IsDone(ordinal, j.spec.TasksPerOccurrence()),
 		waitingSince: j.firstSeen,
 	}
+	if due := j.spec.Due(id.Occurrence); due.After(t.waitingSince) {
+		t.waitingSince = due
+	}
 	t.mayRun = j.progress.MayRun(ordinal, j.spec.TasksPerOccurrence())
 	t.held = j.inherited && t.mayRun && !t.done
 	t.recorded, t.placeStored = j.progress.Place(ordinal, j.spec.TasksPerOccurrence()), true
@@ -188,6 +191,19 @@
 	return true
 }
 
+// startWaits counts the waits of the tasks whose turn comes with the end of a step from now
+// on.
+func (o *occurrence) startWaits(ended int, now time.Time) {
+	for i, st := range o.job.spec.Steps {
+		if !slices.Contains(st.After, ended) || !o.ready(i, now) {
+			continue
+		}
+		for _, t := range o.step(i) {
+			t.waitingSince = now
+		}
+	}
+}
+
 // waiting returns the tasks of a step that have no placement; none of a gang while a
 // member has one.
 func (o *occurrence) waiting(step int) []*task {
