sched: what a gang reserves in an idle pool holds up no other job

Cause: a gang that waited reserved workers until the longest run on any of them had ended, also in a pool with most of its capacity free. Behind it other jobs had nothing running, and overdue long-running gangs held up each other.

Change: with under half of a pool in use, work that ends before the gang is expected to start and overdue long-running tasks use what is reserved; once no job has come for 2 s, so does a task or gang of each job that stands.

Result: of a gang of all 12 workers, each with a task of 60 s, a small job had not started after 3 s (TestReservationInAnIdleServiceHoldsUpNoSmallJob, TestReservationOfLabelledWorkersHoldsUpNoSmallJob); now it has. A gang of all workers still comes before jobs that keep coming (TestWideGangIsNotOvertakenWithoutBound).

--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -179,6 +179,12 @@
 	w.Free, w.Future, w.Eventual = w.Free.Minus(need), w.Future.Minus(need), w.Eventual.Minus(need)
 }
 
+// Unreserve undoes Reserve.
+func (w *WorkerCapacity) Unreserve(q Request) {
+	need := q.Step.ReservedCapacity()
+	w.Free, w.Future, w.Eventual = w.Free.Plus(need), w.Future.Plus(need), w.Eventual.Plus(need)
+}
+
 // byBestFit orders workers by failures, then by available accelerators and cores, the
 // least first, also of their racks. For EventualCapacity the wait goes before these.
 func byBestFit(k CapacityKind) func(a, b *WorkerCapacity) int {
--- /dev/null
+++ b/internal/cranksched/reservation.go
@@ -0,0 +1,115 @@
+package cranksched
+
+import (
+	"slices"
+	"time"
+
+	"cranberrycrank/internal/crankpack"
+)
+
+// reservation is capacity that a planning round keeps free for a gang.
+type reservation struct {
+	request crankpack.Request
+	workers []*crankpack.WorkerCapacity // of each task
+	wait    time.Duration               // until they are expected to be free
+}
+
+// reserve keeps workers free for a gang, those that become free first. It reports whether
+// there are any.
+func reserve(pool *crankpack.Pool, q crankpack.Request) (reservation, bool) {
+	chosen := pool.Place(q, crankpack.EventualCapacity)
+	if chosen == nil && q.Step.SameRack {
+		chosen = pool.Place(q.AcrossRacks(), crankpack.EventualCapacity)
+	}
+	r := reservation{request: q, workers: chosen}
+	for _, c := range chosen {
+		c.Reserve(q)
+		r.wait = max(r.wait, c.EventualIn)
+	}
+	return r, chosen != nil
+}
+
+func (r reservation) cancel() {
+	for _, c := range r.workers {
+		c.Unreserve(r.request)
+	}
+}
+
+// placeOnReserved starts jobs in idle pools on capacity that is reserved for gangs: those
+// that end before the gangs are expected to start, long-running tasks that are overdue and,
+// as that time is an estimate and may be far off, one task or gang of each job that stands.
+// Those wait until no new jobs come, so that a gang is overtaken by a limited number.
+func (s *Scheduler) placeOnReserved(units []unit, pools map[string]*crankpack.Pool, reservations map[string][]reservation, now time.Time) {
+	waits := cancelInIdlePools(pools, reservations)
+	if len(waits) == 0 {
+		return
+	}
+	newest := s.newestJobs()
+	for _, u := range units {
+		pool := u.job.spec.Pool
+		wait, idle := waits[pool]
+		if !idle {
+			continue
+		}
+		waited := now.Sub(u.waitingSince)
+		ends := !u.step.LongRunning && u.step.RunTime > 0 && u.step.RunTime <= wait
+		overdue := u.step.LongRunning && waited > longRunningOverdueTime
+		stands := u.job.placed == 0 && min(waited, now.Sub(newest[pool])) > reservedStandTime
+		switch {
+		case ends, overdue, stands && u.step.Gang:
+			s.placeFree(u, u.tasks, pools[pool], now)
+		case stands:
+			s.placeFree(u, u.tasks[:1], pools[pool], now)
+		}
+	}
+}
+
+// cancelInIdlePools cancels the reservations in idle pools, and returns the shortest
+// expected wait of each of these pools.
+func cancelInIdlePools(pools map[string]*crankpack.Pool, reservations map[string][]reservation) map[string]time.Duration {
+	waits := make(map[string]time.Duration)
+	for name, reserved := range reservations {
+		if pools[name].InUse() >= idleShare {
+			continue
+		}
+		waits[name] = reserved[0].wait
+		for _, r := range reserved {
+			r.cancel()
+			waits[name] = min(waits[name], r.wait)
+		}
+		pools[name].ClearUnplaceable()
+	}
+	return waits
+}
+
+// newestJobs returns when the newest job of each pool was first seen.
+func (s *Scheduler) newestJobs() map[string]time.Time {
+	newest := make(map[string]time.Time)
+	for _, j := range s.jobs {
+		if j.firstSeen.After(newest[j.spec.Pool]) {
+			newest[j.spec.Pool] = j.firstSeen
+		}
+	}
+	return newest
+}
+
+// placeFree starts those of a unit's tasks that fit now.
+func (s *Scheduler) placeFree(u unit, tasks []*task, pool *crankpack.Pool, now time.Time) {
+	together := 1
+	if u.step.Gang {
+		together = len(tasks)
+	}
+	for some := range slices.Chunk(tasks, together) {
+		if some[0].placement != nil {
+			continue
+		}
+		q := u.request(some, now)
+		chosen := pool.Place(q, crankpack.FreeCapacity)
+		if chosen == nil && q.Step.SameRack {
+			chosen = pool.Place(q.AcrossRacks(), crankpack.FreeCapacity)
+		}
+		if chosen != nil {
+			s.allocateAndStart(some, chosen, q)
+		}
+	}
+}
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -16,6 +16,7 @@
 	reservationWait        = 1500 * time.Millisecond // a gang that waits longer reserves capacity
 	avoidTime              = 2 * time.Second         // how long a waiting task avoids workers where it failed
 	maxReservations        = 2                       // gangs of a pool that reserve capacity in one round
+	reservedStandTime      = 2 * time.Second         // a job that stands longer in an idle pool uses reserved capacity
 	startedUpPercent       = 100                     // progress of a long-running task that has started up
 	unstartedDelay         = 1 * time.Second         // an urgent job that waits longer is recorded as not started
 	restoreSeconds         = 1.0                     // most work that stopping a task with checkpoints loses
@@ -28,7 +29,7 @@
 	operator := s.Operator.View()
 	pools := s.pools(operator.EvacuatedZones, now)
 	units := s.waitingUnits(now)
-	reservations := make(map[string]int)
+	reservations := make(map[string][]reservation)
 	known := newPreemptions()
 	for _, u := range units {
 		pool := pools[u.job.spec.Pool]
@@ -44,6 +45,7 @@
 			s.revokeStarts(u.job)
 		}
 	}
+	s.placeOnReserved(units, pools, reservations, now)
 }
 
 func (s *Scheduler) stopEndedJobs(now time.Time) {
@@ -126,7 +128,7 @@
 // placeGang starts a gang if all of it fits now. Otherwise, in this order, it waits for
 // capacity that is being freed, preempts other work, leaves its rack if it may, or reserves
 // capacity. A SameRack gang too large for any empty rack is placed on several.
-func (s *Scheduler) placeGang(u unit, pool *crankpack.Pool, reservations map[string]int, known *preemptions, now time.Time) {
+func (s *Scheduler) placeGang(u unit, pool *crankpack.Pool, reservations map[string][]reservation, known *preemptions, now time.Time) {
 	q, waited := u.request(u.tasks, now), now.Sub(u.waitingSince)
 	if u.step.SameRack && pool.Place(q, crankpack.TotalCapacity) == nil {
 		q = q.AcrossRacks()
@@ -137,8 +139,11 @@
 	if q.Step.SameRack && s.mayCrossRacks(u, pool, q, waited) && s.placeGangNow(u, pool, q.AcrossRacks(), known, u.rank == rankGuaranteed) {
 		return
 	}
-	if waited > reservationWait && u.rank != rankLate && reservations[u.job.spec.Pool] < maxReservations && reserve(pool, q) {
-		reservations[u.job.spec.Pool]++
+	if waited <= reservationWait || u.rank == rankLate || len(reservations[u.job.spec.Pool]) == maxReservations {
+		return
+	}
+	if r, ok := reserve(pool, q); ok {
+		reservations[u.job.spec.Pool] = append(reservations[u.job.spec.Pool], r)
 	}
 }
 
@@ -171,19 +176,6 @@
 	return u.rank == rankGuaranteed || waited > lost || pool.InUse() < idleShare || pool.Place(q, crankpack.EventualCapacity) == nil
 }
 
-// reserve keeps workers free for a gang, those that become free first. It reports whether
-// there are any.
-func reserve(pool *crankpack.Pool, q crankpack.Request) bool {
-	chosen := pool.Place(q, crankpack.EventualCapacity)
-	if chosen == nil && q.Step.SameRack {
-		chosen = pool.Place(q.AcrossRacks(), crankpack.EventualCapacity)
-	}
-	for _, c := range chosen {
-		c.Reserve(q)
-	}
-	return chosen != nil
-}
-
 // placeTasks starts the tasks of a step that fit now. For others it waits for
 // capacity that is being freed, or preempts other work.
 func (s *Scheduler) placeTasks(u unit, pool *crankpack.Pool, known *preemptions, now time.Time) {
