--- a/internal/cranksched/standing.go
+++ b/internal/cranksched/standing.go
@@ -33,10 +33,11 @@
 	standsCapacity standingReason = "no capacity"
 	standsRack     standingReason = "room on several racks only"
 	standsReserved standingReason = "room that other work waits for"
+	standsPlanned  standingReason = "its start is not stored yet"
 )
 
 // standingReasons holds all reasons.
-var standingReasons = []standingReason{standsHeld, standsSilent, standsStore, standsBlind, standsCapacity, standsRack, standsReserved}
+var standingReasons = []standingReason{standsHeld, standsSilent, standsStore, standsBlind, standsCapacity, standsRack, standsReserved, standsPlanned}
 
 // Limits of the lines about jobs that stand.
 const (
@@ -48,7 +49,7 @@
 
 // standingOf returns why a job stands, or false if it does not.
 func (s *Scheduler) standingOf(j *job, now time.Time) (standing, bool) {
-	var waiting, silent *task
+	var waiting, planned, silent *task
 	for _, o := range j.open {
 		for i := range j.spec.Steps {
 			if !o.ready(i, now) {
@@ -60,6 +61,8 @@
 				case t.placement == nil && (waiting == nil || t.waitingSince.Before(waiting.waitingSince)):
 					waiting = t
 				case t.placement == nil:
+				case t.placement.state == statePlanned:
+					planned = t
 				case t.placement.worker.failedRenewals == 0:
 					return standing{}, false
 				case silent == nil:
@@ -72,6 +75,8 @@
 	case silent != nil:
 		w := silent.placement.worker
 		return standing{job: j, task: silent.id, why: standsSilent, since: w.silentSince, worker: w.incarnation, until: s.leaseEnd(w)}, true
+	case planned != nil:
+		return standing{job: j, task: planned.id, why: standsPlanned, since: planned.waitingSince}, true
 	case waiting == nil:
 		return standing{}, false
 	}
--- a/internal/cranksched/standing_test.go
+++ b/internal/cranksched/standing_test.go
@@ -25,6 +25,9 @@
 		}, standing{why: standsHeld, worker: "w3/1", until: now.Add(2 * time.Second)}},
 		{"store", func(s *Scheduler, _ *task) { s.retryAt = now.Add(time.Second) }, standing{why: standsStore}},
 		{"blind", func(s *Scheduler, _ *task) { s.blindAt = now }, standing{why: standsBlind}},
+		{"planned", func(_ *Scheduler, t *task) {
+			t.placement = &placement{task: t, worker: &worker{}, state: statePlanned}
+		}, standing{why: standsPlanned}},
 		{"silent", func(s *Scheduler, t *task) {
 			s.unaccounted["w1/1"] = now.Add(3 * time.Second)
 			t.placement = &placement{task: t, worker: &worker{incarnation: "w1/1", failedRenewals: 1}}
