--- a/internal/crankconf/entry.go
+++ b/internal/crankconf/entry.go
@@ -46,8 +46,6 @@
 	defaultMemoryMiB   = 256
 	minMemoryMiB       = 32
 	maxLease           = 10 * time.Minute
-	defaultSlowdown    = 3
-	maxSlowdown        = 100
 	maxDrain           = 10 * time.Minute
 	maxRetention       = 14 * 24 * time.Hour
 	defaultRecordBytes = 256 << 10
@@ -83,8 +81,6 @@
 			StopTime:    workers.duration("stop-time", 0, time.Millisecond, time.Minute),
 			GangTimeout: workers.duration("gang-timeout", 0, 100*time.Millisecond, 10*time.Minute),
 			Heartbeat:   workers.duration("heartbeat", 0, 0, time.Minute),
-
-			CrossRackSlowdown: workers.number("cross-rack-slowdown", defaultSlowdown, 1, maxSlowdown),
 		},
 		ResultRetention: running.duration("result-retention", 2*time.Minute, time.Second, maxRetention),
 		DrainTimeout:    running.duration("drain-timeout", 5*time.Second, 500*time.Millisecond, maxDrain),
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -134,7 +134,7 @@
 	if s.placeGangNow(u, pool, q, known, u.mayPreempt()) {
 		return
 	}
-	if q.Step.SameRack && s.mayCrossRacks(u, pool, q, waited) && s.placeGangNow(u, pool, q.AcrossRacks(), known, u.rank == rankGuaranteed) {
+	if q.Step.SameRack && mayCrossRacks(u, pool, q, waited) && s.placeGangNow(u, pool, q.AcrossRacks(), known, u.rank == rankGuaranteed) {
 		return
 	}
 	if waited > reservationWait && u.rank != rankLate && reservations[u.job.spec.Pool] < maxReservations && reserve(pool, q) {
@@ -162,13 +162,13 @@
 
 // mayCrossRacks reports whether a gang that fits on no rack now is better placed on several:
 // its guarantee matters more than the time that its tasks lose there, the pool has room for
-// slower tasks, no rack becomes free by itself, or it has waited for as long as the tasks lose.
-func (s *Scheduler) mayCrossRacks(u unit, pool *crankpack.Pool, q crankpack.Request, waited time.Duration) bool {
+// slower tasks, or no rack becomes free by itself. In a pool that is busy, slower tasks would
+// take from others what the gang gains.
+func mayCrossRacks(u unit, pool *crankpack.Pool, q crankpack.Request, waited time.Duration) bool {
 	if waited <= crossRackWait {
 		return false
 	}
-	lost := time.Duration((s.Bounds.CrossRackSlowdown - 1) * float64(u.step.RunTime))
-	return u.rank == rankGuaranteed || waited > lost || pool.InUse() < idleShare || pool.Place(q, crankpack.EventualCapacity) == nil
+	return u.rank == rankGuaranteed || pool.InUse() < idleShare || pool.Place(q, crankpack.EventualCapacity) == nil
 }
 
 // reserve keeps workers free for a gang, those that become free first. It reports whether
--- a/lease.go
+++ b/lease.go
@@ -138,10 +138,6 @@
 	StopTime    time.Duration // longest time that stopping a run takes
 	GangTimeout time.Duration // a gang task waits this long for the others
 	Heartbeat   time.Duration // between two writes of a worker's entry, 0 if it is not known
-
-	// CrossRackSlowdown is how many times longer the tasks of a SameRack step take on
-	// several racks.
-	CrossRackSlowdown float64
 }
 
 // Uptime returns the time since boot, including time spent suspended.
