sched: planned runs outlast writes that are usually slow

Class: a fixed timeout below what the operation usually takes. Cause: a planned run waits for the record that allows its order. If that write took longer than 500 ms, the run was given up, and planned anew after the write, as best fit had it then: at other workers while small tasks came and went, which took another write. Progress waits its turn behind submissions, so appends of 300 ms were enough.

Change: planned runs are given up after twice the time of recent writes, between 500 ms and 2 s, counted from the first write that the store has not answered.

--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -115,7 +115,8 @@
 	placeWriteDelay   = 250 * time.Millisecond  // for places of tasks that were started without
 	writeRetry        = 100 * time.Millisecond  // after a failed write
 	unlistedGrace     = 2500 * time.Millisecond // an entry that expired during a store outage is back by then
-	storeAwayTime     = 500 * time.Millisecond  // without an answer to a write; planned runs then give their capacity back
+	storeAwayTime     = 500 * time.Millisecond  // without an answer to a write; planned runs then give their capacity back,
+	maxStoreAwayTime  = 2 * time.Second         // but no sooner than twice the usual time of a write, at most this
 	historyTime       = 8 * time.Second         // of the worker list, that a new planner reads
 	historyReadTime   = 3 * time.Second         // longest time of reading it
 	minRefusals       = 2                       // refused connections in a row that show that a worker has ended
@@ -149,6 +150,8 @@
 	askedRoster       bool                               // the incarnations of the inherited roster that are not listed are asked for their runs
 	writing           bool
 	writeBegun        time.Time
+	unansweredSince   time.Time     // start of the first write since the store last answered one, zero if there is none
+	writeTime         time.Duration // of recent writes
 	retryAt           time.Time
 	changed           bool          // a planning round is needed
 	roundAt           time.Time     // when the next round may begin
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -265,7 +265,7 @@
 			if p.state == stateStopping && now.After(p.stopRetryAt) {
 				s.sendStop(p)
 			}
-			if p.state == statePlanned && s.storeAway(now) {
+			if p.state == statePlanned && s.writeOverdue(now) {
 				s.release(p, "the store has not answered")
 			}
 		}
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -61,6 +61,9 @@
 	}
 	s.acks = make(map[*worker]int64)
 	s.writing, s.writeBegun = true, begun
+	if s.unansweredSince.IsZero() {
+		s.unansweredSince = begun
+	}
 	go func() {
 		results := s.writer.AppendGroups(s.ctx, groups...)
 		s.post(func() {
@@ -166,7 +169,11 @@
 		failure = cmp.Or(s.handleRosterResult(*written.roster, results[len(written.jobs)]), failure)
 	}
 	s.changed = true
+	if failure == nil || crankfeed.RefusedForGood(failure) {
+		s.unansweredSince = time.Time{}
+	}
 	if failure == nil {
+		s.writeTime = max(time.Since(s.writeBegun), s.writeTime/2)
 		s.acknowledge(written.acks)
 		return
 	}
@@ -180,6 +187,17 @@
 	s.retryAt = time.Now().Add(writeRetry)
 }
 
+// writeOverdue reports whether the store takes so much longer than usual to answer a write
+// that planned runs are not worth the capacity they hold.
+//
+// Load pattern: every write takes longer than storeAwayTime while small tasks come and go.
+// Runs that were given up at each write would be planned at other workers every time, which
+// takes another write.
+func (s *Scheduler) writeOverdue(now time.Time) bool {
+	limit := max(storeAwayTime, min(2*s.writeTime, maxStoreAwayTime))
+	return !s.unansweredSince.IsZero() && now.Sub(s.unansweredSince) > limit
+}
+
 func (s *Scheduler) handleStoredProgress(j *job, record crankjobs.Progress, stored crank.OffsetRange) {
 	s.publishStoredEnd(j, record.Outcome, stored)
 	j.claimed = true
