The orders of a gang are sent all or none

A leader whose term ended, by a yield, a shutdown or a resignation, cancelled the start orders that were on their way. Of a gang, some members had started by then; they waited alone until the worker ended them. A term could also end, or run out of time to grant leases, between the orders of one gang.

Orders of gangs now outlast the term by one try, and Run waits for their answers before the term is released. Whether all members may be ordered is decided before the first order, and none is sent once the term is over. The lines about them are logged after the last order.

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -34,9 +34,9 @@
 		t.lastRun, t.placement, t.held = run, p, false
 		t.job.placed++
 		w.placements[t.id] = p
-		if allowed || (!t.step.Gang && s.mayStartAt(t, w)) {
-			s.sendStart(p)
-		}
+	}
+	if allowed {
+		s.sendStarts(tasks)
 	}
 }
 
@@ -131,15 +131,37 @@
 		}
 	}
 	for _, m := range tasks {
-		p := m.placement
-		if p == nil { // given up with a member before it
+		if p := m.placement; m.job.ending() || p.worker.failedRenewals > 0 || p.worker.ending || !s.Leadership.Valid() {
+			s.stopRun(p, unstartable)
 			return
 		}
-		if m.job.ending() || p.worker.failedRenewals > 0 || p.worker.ending || !s.Leadership.Valid() {
-			s.stopRun(p, "it can't be started any more")
-			continue
+	}
+	s.sendStarts(tasks)
+}
+
+// unstartable is why planned runs are given up.
+const unstartable = "it can't be started any more"
+
+// sendStarts sends the orders of tasks that start together, of all or of none.
+func (s *Scheduler) sendStarts(tasks []*task) {
+	if s.ctx.Err() != nil {
+		return
+	}
+	for _, t := range tasks {
+		p := t.placement
+		p.conclusiveAfter = p.worker.keeper.DeadlineAfter(s.startWindow())
+		if p.conclusiveAfter == 0 {
+			s.stopRun(p, unstartable)
+			return
 		}
-		s.sendStart(p)
+	}
+	for _, t := range tasks {
+		s.sendStart(t.placement)
+	}
+	for _, t := range tasks { // a slow log does not come between the orders of a gang
+		p := t.placement
+		s.Logger.Info("sched: run ordered", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "zone", p.worker.entry.Zone,
+			"checkpoint", t.checkpoint != "", "waited", time.Since(t.waitingSince).Round(time.Millisecond), "until", p.conclusiveAfter)
 	}
 }
 
@@ -152,30 +174,34 @@
 func (s *Scheduler) sendStart(p *placement) {
 	t := p.task
 	t.job.ordered = true
-	p.state, p.conclusiveAfter, p.startedAt = stateOrdered, p.worker.keeper.DeadlineAfter(s.startWindow()), time.Now()
+	p.state, p.startedAt = stateOrdered, time.Now()
 	s.priorityScope(t.job.spec.Priority).Timer("place_wait").Record(time.Since(t.waitingSince))
 	order := crank.RunOrder{Task: p.id, Run: p.run, Payload: t.job.spec.Payload, Checkpoint: t.checkpoint, Fence: s.Term, DeadlineMs: p.conclusiveAfter}
-	s.Logger.Info("sched: run ordered", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "zone", p.worker.entry.Zone,
-		"checkpoint", t.checkpoint != "", "waited", time.Since(t.waitingSince).Round(time.Millisecond), "until", order.DeadlineMs)
-	client := p.worker.client
-	go func() {
-		reply, uncertain, err := s.tryStart(client, order)
+	ctx, client := s.ctx, p.worker.client
+	if p.step.Gang { // the end of the term must not cut off some members
+		ctx = context.WithoutCancel(ctx)
+	}
+	s.orders.Go(func() {
+		reply, uncertain, err := s.tryStart(ctx, client, order)
 		s.post(func() { s.handleStartReply(p, reply, uncertain, err) })
-	}()
+	})
 }
 
 // tryStart sends a start order and retries it if no answer comes; workers treat equal
 // starts as one. After a try without an answer the result is uncertain: that try may
 // have taken effect, whatever the next answer says.
-func (s *Scheduler) tryStart(client crank.LeasedWorker, order crank.RunOrder) (reply crank.OrderReply, uncertain bool, err error) {
+func (s *Scheduler) tryStart(ctx context.Context, client crank.LeasedWorker, order crank.RunOrder) (reply crank.OrderReply, uncertain bool, err error) {
 	for range startTries {
-		ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
-		reply, err = client.Start(ctx, order)
+		callCtx, cancel := context.WithTimeout(ctx, startTimeout)
+		reply, err = client.Start(callCtx, order)
 		cancel()
 		if kind := crank.KindOf(err); err == nil || (kind != crank.KindUnknown && kind != crank.KindFenced) {
 			return reply, uncertain, err
 		}
 		uncertain = true
+		if s.ctx.Err() != nil {
+			break
+		}
 	}
 	return reply, uncertain, err
 }
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -43,6 +43,7 @@
 	"context"
 	"log/slog"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -136,6 +137,7 @@
 	list   *crankfleet.List
 	writer *crankfeed.Writer
 	ctx    context.Context
+	orders sync.WaitGroup // start orders without an answer
 
 	revision          int64 // of the job state, last applied
 	jobs              map[string]*job
@@ -208,8 +210,8 @@
 // plannerProducer is the producer of the planner's records; the term is its epoch.
 const plannerProducer = "planner"
 
-// Run takes over the term and plans until the context ends. It returns early if the
-// takeover fails.
+// Run takes over the term and plans until the context ends, then waits for the answers to
+// the start orders of gangs. It returns early if the takeover fails.
 func (s *Scheduler) Run(ctx context.Context) {
 	s.ctx = ctx
 	s.writer = crankfeed.NewWriter(crankfeed.WriterConfig{
@@ -228,7 +230,7 @@
 	go feed.Run(ctx)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		_, changed := s.Jobs.Watch()
 		s.iterate()
 		select {
@@ -240,9 +242,9 @@
 			s.changed = true
 			s.checkPace(time.Now())
 		case <-ctx.Done():
-			return
 		}
 	}
+	s.orders.Wait()
 }
 
 // takeOver fences out the planners of earlier terms in the store and loads what they
--- /dev/null
+++ b/proofs/crankentryproof/gang_order_test.go
@@ -0,0 +1,124 @@
+package crankentryproof
+
+import (
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	crank "cranberrycrank"
+	"cranberrycrank/standin/crankfakefleet"
+
+	"github.com/matryer/is"
+)
+
+// gangLog records the starts of gang members and the ends of those that waited in vain.
+type gangLog struct {
+	mu      sync.Mutex
+	started []crankfakefleet.Event
+	alone   []crankfakefleet.Event
+}
+
+// recordGangs records the starts and ends of gang members from now on.
+func (c *cluster) recordGangs() *gangLog {
+	l := &gangLog{}
+	c.fleet.UpdateConfig(func(f *crankfakefleet.Config) {
+		f.Observe = func(e crankfakefleet.Event) {
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			switch {
+			case e.Kind == crankfakefleet.EventStarted:
+				l.started = append(l.started, e)
+			case e.How == crank.EndGangTimeout && e.Kind == crankfakefleet.EventEnded:
+				l.alone = append(l.alone, e)
+			}
+		}
+	})
+	return l
+}
+
+func (l *gangLog) aloneEnds() []crankfakefleet.Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.alone
+}
+
+// awaitStart waits until a member of a job has started.
+func (l *gangLog) awaitStart(job string) {
+	for {
+		l.mu.Lock()
+		for _, e := range l.started {
+			if e.Task.Job == job {
+				l.mu.Unlock()
+				return
+			}
+		}
+		l.mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// disturbLaterStarts injects a fault into all start orders but the first.
+func (c *cluster) disturbLaterStarts(later crankfakefleet.Fault) {
+	starts := 0
+	c.update(func() {
+		c.workerFaults = func(_, _, call string) crankfakefleet.Fault {
+			if call != "start" {
+				return crankfakefleet.Fault{}
+			}
+			if starts++; starts == 1 {
+				return crankfakefleet.Fault{}
+			}
+			return later
+		}
+	})
+}
+
+// A leader that gave its term up cancelled those orders of a gang that had not arrived.
+func TestGangOrderedAtTheEndOfATermStartsWhole(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(4)
+		time.Sleep(settled)
+		log := c.recordGangs()
+		c.disturbLaterStarts(crankfakefleet.Fault{TransitTime: 150 * time.Millisecond})
+		caller := c.notLeader()
+		is.NoErr(c.submit(caller, "urgent", "job1", gangStep(4, 8, 4*time.Second)))
+		log.awaitStart("job1")
+		c.shutDown(c.leader())
+		c.awaitPhase(caller, "urgent", "job1", crank.PhaseCompleted, 5*time.Second)
+		is.Equal(log.aloneEnds(), nil)
+		is.Equal(c.fleet.Runs(), 4)
+	})
+}
+
+// A leader that became too slow yielded between the orders of a gang.
+func TestNoGangMemberIsAloneWhenASlowLeaderYields(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(8)
+		time.Sleep(settled)
+		log := c.recordGangs()
+		term, caller, leader := c.termNumber(), c.notLeader(), c.leader()
+		c.update(func() {
+			c.logDelay[c.running[leader].caller] = slowLine / 2
+			c.workerFaults = func(_, worker, call string) crankfakefleet.Fault {
+				if call != "start" || worker == workerID(0) {
+					return crankfakefleet.Fault{}
+				}
+				return crankfakefleet.Fault{TransitTime: 3 * slowLine}
+			}
+		})
+		for i := range 25 {
+			// Jobs that a slow leader does not take in time are not what is tested.
+			_ = c.submit(caller, "urgent", fmt.Sprintf("gang%d", i), gangStep(3, 4, time.Second))
+			time.Sleep(200 * time.Millisecond)
+		}
+		time.Sleep(leaseBounds.GangTimeout + settled)
+		is.Equal(c.termNumber(), term+1)
+		for _, e := range log.aloneEnds() {
+			t.Error(strings.Join([]string{e.Task.String(), fmt.Sprint("run ", e.Run), e.Worker, "ended alone"}, ", "))
+		}
+	})
+}
