A successor ends a part of a gang at once

A planner that found some members of a gang running adopted them and waited: a gang waits whole while one member has a run. The members ended by themselves after the workers' gang timeout, or were stopped as stalled after 3.3 s, which also quarantined their workers.

Adopted members are stopped once another member is known not to run with them: the worker at its place has answered under the new fence or is gone.

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -252,18 +252,6 @@
 	s.release(p, why)
 }
 
-// abandonGang stops the other members of a run whose gang can't be complete.
-func (s *Scheduler) abandonGang(p *placement, why string) {
-	if p.task == nil || !p.step.Gang {
-		return
-	}
-	for _, m := range p.task.members() {
-		if m.placement != nil && m.placement != p && m.placement.run == p.run {
-			s.stopRun(m.placement, why)
-		}
-	}
-}
-
 // stopRun stops a run and the other members of its gang. The run keeps its capacity
 // until a report shows that it has ended.
 func (s *Scheduler) stopRun(p *placement, why string) {
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -259,7 +259,7 @@
 
 // adoptRun adds a placement for a run that this planner did not start. It is either a
 // run of an earlier term, which continues, or one that its task no longer needs,
-// which is stopped.
+// which is stopped. Of a gang, see endParts.
 func (s *Scheduler) adoptRun(w *worker, a crank.ActiveRun) *placement {
 	p := &placement{id: a.Task, worker: w, run: a.Run, state: stateRunning, startedAt: time.Now(), progressedAt: time.Now(), percent: a.Percent}
 	w.placements[a.Task] = p
@@ -287,8 +287,11 @@
 	j.begun, t.held = true, false
 	s.allowStarts([]*task{t}, []*worker{w})
 	s.Logger.Info("sched: run adopted", "task", a.Task, "run", a.Run, "worker", w.entry.ID, "percent", a.Percent)
-	if j.ending() {
+	switch {
+	case j.ending():
 		s.stopRun(p, "its job has ended")
+	case t.step.Gang:
+		s.adopted[p] = true
 	}
 	return p
 }
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -34,6 +34,8 @@
 //     have extended the lease, and the tasks run on.
 //   - A start order takes effect at the incarnation that it was sent to or nowhere
 //     (crank.LeasedWorker), so that nothing runs for an incarnation that has ended.
+//   - All start orders of a gang are sent or none. The end of the term cuts none of them off;
+//     a later planner that finds only some members running stops them.
 //   - Run numbers grow with the term, so that no number is used twice.
 //   - A run whose order got no answer keeps its capacity until a report made
 //     after the order expired does not list it.
@@ -148,6 +150,7 @@
 	unaccounted       map[string]time.Time               // incarnations of the inherited roster whose runs are not yet known, and when their leases have expired
 	limits            map[string]crankfleet.FormerLeases // of some of them, that the inherited roster holds
 	placesKnown       bool                               // recorded places refer to the inherited roster
+	adopted           map[*placement]bool                // members of gangs that are not known to have started whole
 	askedRoster       bool                               // the incarnations of the inherited roster that are not listed are asked for their runs
 	writing           bool
 	writeBegun        time.Time
@@ -193,6 +196,7 @@
 		acks:        make(map[*worker]int64),
 		roster:      newRoster(),
 		unaccounted: make(map[string]time.Time),
+		adopted:     make(map[*placement]bool),
 		limits:      make(map[string]crankfleet.FormerLeases),
 		health:      make(map[string]*workerHealth),
 		dropped:     make(map[string]bool),
@@ -328,6 +332,7 @@
 	if now.Sub(s.timeoutsCheckedAt) >= tick {
 		s.timeoutsCheckedAt = now
 		s.checkTimeouts(now)
+		s.endParts()
 	}
 	if s.changed && s.blindAt.IsZero() && s.Leadership.Valid() && time.Since(s.roundAt) >= minRoundGap {
 		s.changed = false
--- a/proofs/crankentryproof/gang_order_test.go
+++ b/proofs/crankentryproof/gang_order_test.go
@@ -93,6 +93,56 @@
 	})
 }
 
+// A successor left the members alone that its predecessor had started before it was lost.
+func TestSuccessorEndsAPartOfAGang(t *testing.T) {
+	for _, members := range []int{2, 4} {
+		t.Run(fmt.Sprint(members), func(t *testing.T) {
+			bounds := leaseBounds
+			bounds.GangTimeout = 5 * time.Second
+			playWithBounds(t, bounds, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.setUp(4)
+				time.Sleep(settled)
+				log := c.recordGangs()
+				c.disturbLaterStarts(crankfakefleet.Fault{DropRequest: true})
+				caller := c.notLeader()
+				is.NoErr(c.submit(caller, "urgent", "job1", gangStep(members, 8, time.Second)))
+				log.awaitStart("job1")
+				c.kill(c.leader())
+				clearWorkerFaults(c)
+				c.awaitPhase(caller, "urgent", "job1", crank.PhaseCompleted, 3500*time.Millisecond)
+				is.Equal(log.aloneEnds(), nil)
+				is.Equal(c.fleet.Runs(), members+1)
+			}, func(t *testing.T, violation string) { t.Error(violation) })
+		})
+	}
+}
+
+// A gang that works is not taken for a part, also while a member's worker does not answer.
+func TestSuccessorKeepsAGangThatWorks(t *testing.T) {
+	for _, silence := range []time.Duration{0, 1500 * time.Millisecond} {
+		t.Run(silence.String(), func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.setUp(4)
+				time.Sleep(settled)
+				log, caller := c.recordStarts(), c.notLeader()
+				is.NoErr(c.submit(caller, "urgent", "job1", gangStep(4, 8, 8*time.Second)))
+				time.Sleep(time.Second)
+				worker := log.workerOf(crank.TaskID{Job: "job1", Index: 2})
+				if silence > 0 {
+					c.cutWorker(worker)
+				}
+				c.kill(c.leader())
+				time.Sleep(silence)
+				c.reconnectWorker(worker)
+				c.awaitPhase(caller, "urgent", "job1", crank.PhaseCompleted, 9*time.Second)
+				is.Equal(c.fleet.Runs(), 4)
+			})
+		})
+	}
+}
+
 // A leader that became too slow yielded between the orders of a gang.
 func TestNoGangMemberIsAloneWhenASlowLeaderYields(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
