--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 GOPLS_VERSION = v0.23.0
 MODULES = . ./cmd ./internal ./pkg ./proofs ./standin
 
-.PHONY: build test race lint format gopls demo measure bench fuzz soak planted regress
+.PHONY: build test race lint format gopls demo measure bench fuzz soak planted regress twins
 
 build:
 	$(GO) build -o bin/cranberrycrank ./cmd/cranberrycrank
@@ -33,6 +33,10 @@
 regress:
 	scripts/regress $(BENCH) "$(WHY)" $(SITES)
 
+# Small twins: make twins BENCH=PATH WHY=TEXT SITES="FILE..." (FIRST=N and PLAYS=N choose the seeds)
+twins:
+	scripts/twins $(BENCH) "$(WHY)" $(or $(FIRST),501) $(SITES)
+
 # gopls renames identifiers over all modules: bin/gopls rename -w FILE:LINE:COL NAME
 gopls:
 	GOBIN=$(CURDIR)/bin GOWORK=off $(GO) install golang.org/x/tools/gopls@$(GOPLS_VERSION)
