--- a/internal/cranksched/unit.go
+++ b/internal/cranksched/unit.go
@@ -94,7 +94,10 @@
 	return unaccounted
 }
 
-func (u unit) mayPreempt() bool { return u.rank == rankGuaranteed || u.rank == rankUrgent }
+// mayPreempt reports whether other work may be stopped for the unit, see preempt.
+func (u unit) mayPreempt() bool {
+	return u.rank == rankGuaranteed || u.rank == rankUrgent || (u.rank == rankOverdueLongRunning && u.step.Latency > 0)
+}
 
 func newUnit(j *job, tasks []*task, guaranteed bool, now time.Time) unit {
 	objective := j.spec.CompletionTarget()
