sched: a leader whose rounds are slow yields, however far apart they are

Class: a detector that is blind beyond its range. Cause: a leader is too slow after three stalls within 3 s, and rounds take a fifth of the time at most. A round of over 0.37 s is thus followed by a gap in which the count starts anew: the slower the leader, the less it was noticed.

Change: two rounds in a row of over 0.3 s count as well. A pause of the machine makes one.

--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -336,6 +336,7 @@
 		s.round()
 		took := time.Since(begun)
 		s.Scope.Timer("round").Record(took)
+		s.pace.round(took)
 		s.roundTime = min(took, max(maxRoundGrowth*s.roundTime, usualRoundTime))
 		s.roundAt = begun.Add(took + (roundSpacing-1)*s.roundTime)
 	}
