--- a/proofs/crankentryproof/stand_play_test.go
+++ b/proofs/crankentryproof/stand_play_test.go
@@ -9,6 +9,7 @@
 
 	crank "cranberrycrank"
 	"cranberrycrank/standin/crankfakefleet"
+	"cranberrycrank/standin/crankfakeplatform"
 
 	"pgregory.net/rapid"
 )
@@ -92,6 +93,19 @@
 		p.fleet.UpdateConfig(func(*crankfakefleet.Config) { p.failing[id] = true })
 		p.later(e.lasts, func() { p.fleet.UpdateConfig(func(*crankfakefleet.Config) { delete(p.failing, id) }) })
 	},
+	"worker drains and stays": func(p *standPlay, e standEvent) {
+		id := p.workerAt(e.event)
+		if p.isDown(id) {
+			return
+		}
+		p.drain(id)
+		p.later(e.lasts, func() { p.resume(id) })
+	},
+	"zone is evacuated": func(p *standPlay, e standEvent) {
+		zone := fmt.Sprintf("z%d", e.worker%3)
+		p.store.Put(crank.OperatorTopic, zone, []byte("{}"))
+		p.later(e.lasts, func() { p.store.Put(crank.OperatorTopic, zone, nil) })
+	},
 	"tasks stand still": func(p *standPlay, e standEvent) {
 		id := p.workerAt(e.event)
 		p.fleet.UpdateConfig(func(*crankfakefleet.Config) { p.stuck[id] = true })
@@ -99,6 +113,19 @@
 	},
 }
 
+// resume has a worker that drained take tasks again.
+func (p *standPlay) resume(id string) {
+	var e crank.WorkerEntry
+	p.update(func() {
+		e = p.workerEntries[id]
+		e.Draining = false
+		p.workerEntries[id] = e
+	})
+	if !p.isDown(id) {
+		p.store.Put(crank.WorkerTopic, id, crankfakeplatform.EncodeEntry(e))
+	}
+}
+
 func (p *standPlay) submitShape(prefix string, e standEvent) {
 	id := fmt.Sprintf("%s%d", prefix, p.jobs)
 	p.jobs++
@@ -158,7 +185,7 @@
 
 func drawStandEvent(t *rapid.T) standEvent {
 	e := standEvent{event: drawEvent(t), shape: rapid.IntRange(0, len(shapes)-1).Draw(t, "shape"), size: rapid.IntRange(0, 11).Draw(t, "size")}
-	if more := rapid.IntRange(0, 9).Draw(t, "more"); more < len(standKinds) {
+	if more := rapid.IntRange(0, 11).Draw(t, "more"); more < len(standKinds) {
 		kinds := make([]string, 0, len(standKinds))
 		for kind := range standKinds {
 			kinds = append(kinds, kind)
