sched: quarantines leave workers of each label in use

Class: a limit on a whole that leaves a part uncovered. Cause: hopeless jobs that require a label of few workers, as that of a rack, had all of these quarantined, less than a quarter of the pool.

Change: the limit holds for each label of the worker as well.

Before the change the sound job of TestJobsThatAlwaysFailDoNotQuarantineALabel was queued after 3 s.

--- a/internal/cranksched/health.go
+++ b/internal/cranksched/health.go
@@ -15,7 +15,7 @@
 const (
 	quarantineThreshold = 2                       // jobs that fail in a row until the worker is quarantined
 	quarantineTime      = 8 * time.Second         // how long the worker gets no new tasks
-	maxQuarantineShare  = 4                       // at most one of so many workers of a pool is quarantined for failed runs
+	maxQuarantineShare  = 4                       // at most one of so many workers of a pool or with a label is quarantined for failed runs
 	stallTimeout        = 2500 * time.Millisecond // a run without progress for longer has stalled
 	stallPercents       = 6                       // or for the estimated time of so many percent, if that is longer
 )
@@ -94,19 +94,28 @@
 	return found
 }
 
-// mayQuarantine reports whether a worker may be quarantined beside the others of its pool.
+// mayQuarantine reports whether enough workers stay in use beside those in quarantine, of
+// the pool and of those that share a label with the worker.
 func (s *Scheduler) mayQuarantine(w *worker) bool {
-	all, quarantined, now := 0, 0, time.Now()
+	const pool = "" // no label
+	all, quarantined, now := make(map[string]int), make(map[string]int), time.Now()
 	for _, other := range s.workers {
 		if other.ended || other.entry.Pool != w.entry.Pool {
 			continue
 		}
-		all++
-		if other != w && now.Before(other.quarantinedUntil) {
-			quarantined++
+		for _, label := range append([]string{pool}, other.entry.Labels...) {
+			all[label]++
+			if other != w && now.Before(other.quarantinedUntil) {
+				quarantined[label]++
+			}
 		}
 	}
-	return quarantined < max(1, all/maxQuarantineShare)
+	for _, label := range append([]string{pool}, w.entry.Labels...) {
+		if quarantined[label] >= max(1, all[label]/maxQuarantineShare) {
+			return false
+		}
+	}
+	return true
 }
 
 func (s *Scheduler) quarantine(w *worker, why string, count int) {
--- a/proofs/crankentryproof/quarantine_test.go
+++ b/proofs/crankentryproof/quarantine_test.go
@@ -31,6 +31,27 @@
 	})
 }
 
+// All workers with a label were quarantined by hopeless jobs that require it, and few of the
+// pool with them.
+func TestJobsThatAlwaysFailDoNotQuarantineALabel(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(16)
+		time.Sleep(settled)
+		c.fleet.UpdateConfig(func(f *crankfakefleet.Config) {
+			f.Fails = func(id crank.TaskID, _ int64, _ string) bool { return id.Job != "sound" }
+		})
+		step := independentTasks(4, 300*time.Millisecond)
+		step.Label, step.MaxPerWorker = "r0", 1 // of 4 workers
+		for i := range 8 {
+			is.NoErr(c.submit("a", "patient", fmt.Sprintf("hopeless%d", i), step))
+		}
+		time.Sleep(1500 * time.Millisecond)
+		is.NoErr(c.submit("a", "patient", "sound", step))
+		c.awaitPhase("a", "patient", "sound", crank.PhaseCompleted, 3*time.Second)
+	})
+}
+
 // Workers that fail all that they start are still quarantined while hopeless jobs come.
 func TestFailingWorkersAreQuarantinedBesideJobsThatAlwaysFail(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
