sched: a task that waits reserves capacity

Cause: only gangs reserved capacity. A task that needs a whole worker waited for as long as smaller tasks that came later took each accelerator that came free.

Change: of the tasks of a pool that are in no gang, the first by rank reserves capacity as gangs do, unless its job is late.

--- a/internal/cranksched/reservation.go
+++ b/internal/cranksched/reservation.go
@@ -7,16 +7,36 @@
 	"cranberrycrank/internal/crankpack"
 )
 
-// reservation is capacity that a planning round keeps free for a gang.
+// reservation is capacity that a planning round keeps free for a gang or a task.
 type reservation struct {
 	request crankpack.Request
 	workers []*crankpack.WorkerCapacity // of each task
 	wait    time.Duration               // until they are expected to be free
 }
 
-// reserve keeps workers free for a gang, those that become free first. It reports whether
-// there are any.
-func reserve(pool *crankpack.Pool, q crankpack.Request) (reservation, bool) {
+// reserve keeps workers free for a unit's request if the unit has waited for long enough.
+func (u unit) reserve(pool *crankpack.Pool, q crankpack.Request, reservations map[string][]reservation, now time.Time) {
+	name, limit := u.job.spec.Pool, maxTaskReservations
+	if u.step.Gang {
+		limit = maxReservations
+	}
+	same := 0
+	for _, r := range reservations[name] {
+		if r.request.Step.Gang == u.step.Gang {
+			same++
+		}
+	}
+	if same >= limit || u.rank == rankLate || now.Sub(u.waitingSince) <= reservationWait {
+		return
+	}
+	if r, ok := newReservation(pool, q); ok {
+		reservations[name] = append(reservations[name], r)
+	}
+}
+
+// newReservation keeps the workers free that become free first. It reports whether there
+// are any.
+func newReservation(pool *crankpack.Pool, q crankpack.Request) (reservation, bool) {
 	chosen := pool.Place(q, crankpack.EventualCapacity)
 	if chosen == nil && q.Step.SameRack {
 		chosen = pool.Place(q.AcrossRacks(), crankpack.EventualCapacity)
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -13,9 +13,10 @@
 	crossRackWait          = 1200 * time.Millisecond // a gang that waits longer for a rack may be placed on several
 	idleShare              = 0.5                     // in use; a pool below has room for tasks that take longer
 	longRunningOverdueTime = 2 * time.Second         // a long-running task that waits longer goes first, also before reservations
-	reservationWait        = 1500 * time.Millisecond // a gang that waits longer reserves capacity
+	reservationWait        = 1500 * time.Millisecond // a gang or task that waits longer reserves capacity
 	avoidTime              = 2 * time.Second         // how long a waiting task avoids workers where it failed
 	maxReservations        = 2                       // gangs of a pool that reserve capacity in one round
+	maxTaskReservations    = 1                       // tasks of a pool that are in no gang and do so
 	reservedStandTime      = 2 * time.Second         // a job that stands longer in an idle pool uses reserved capacity
 	startedUpPercent       = 100                     // progress of a long-running task that has started up
 	unstartedDelay         = 1 * time.Second         // an urgent job that waits longer is recorded as not started
@@ -39,7 +40,7 @@
 		if u.step.Gang {
 			s.placeGang(u, pool, reservations, known, now)
 		} else {
-			s.placeTasks(u, pool, known, now)
+			s.placeTasks(u, pool, reservations, known, now)
 		}
 		if now.Sub(u.waitingSince) > unstartedDelay {
 			s.revokeStarts(u.job)
@@ -139,12 +140,7 @@
 	if q.Step.SameRack && mayCrossRacks(u, pool, q, waited) && s.placeGangNow(u, pool, q.AcrossRacks(), known, u.rank == rankGuaranteed) {
 		return
 	}
-	if waited <= reservationWait || u.rank == rankLate || len(reservations[u.job.spec.Pool]) == maxReservations {
-		return
-	}
-	if r, ok := reserve(pool, q); ok {
-		reservations[u.job.spec.Pool] = append(reservations[u.job.spec.Pool], r)
-	}
+	u.reserve(pool, q, reservations, now)
 }
 
 // placeGangNow starts a gang, or has it wait for runs that are being stopped. It reports
@@ -177,8 +173,8 @@
 }
 
 // placeTasks starts the tasks of a step that fit now. For others it waits for
-// capacity that is being freed, or preempts other work.
-func (s *Scheduler) placeTasks(u unit, pool *crankpack.Pool, known *preemptions, now time.Time) {
+// capacity that is being freed, preempts other work, or reserves capacity for one.
+func (s *Scheduler) placeTasks(u unit, pool *crankpack.Pool, reservations map[string][]reservation, known *preemptions, now time.Time) {
 	noCapacity := false
 	for _, t := range u.tasks {
 		one := []*task{t}
@@ -200,7 +196,9 @@
 			}
 			continue
 		}
-		noCapacity = noCapacity || q.Avoid == nil
+		if noCapacity = noCapacity || q.Avoid == nil; noCapacity {
+			u.reserve(pool, q, reservations, now)
+		}
 	}
 }
 
--- a/proofs/crankentryproof/reservation_wait_test.go
+++ b/proofs/crankentryproof/reservation_wait_test.go
@@ -86,3 +86,24 @@
 		is.True(c.fleet.HasStarted("wide"))
 	})
 }
+
+// Small tasks that come later took each accelerator that became free.
+func TestWholeWorkerTaskIsNotOvertakenWithoutBound(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUpRacks(1)
+		submitted := 0
+		submitFor := func(d time.Duration) {
+			for begun := time.Now(); time.Since(begun) < d; time.Sleep(80 * time.Millisecond) {
+				submitted++
+				is.NoErr(c.submit("a", "patient", fmt.Sprintf("small%d", submitted), independentTasks(1, 3*time.Second)))
+			}
+		}
+		submitFor(4 * time.Second)
+		whole := independentTasks(1, 4*time.Second)
+		whole.Demand.Accelerators = 8
+		is.NoErr(c.submit("a", "patient", "whole", whole))
+		submitFor(12 * time.Second)
+		is.True(c.fleet.HasStarted("whole"))
+	})
+}
