--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -34,6 +34,8 @@
 //     have extended the lease, and the tasks run on.
 //   - A start order takes effect at the incarnation that it was sent to or nowhere
 //     (crank.LeasedWorker), so that nothing runs for an incarnation that has ended.
+//   - All start orders of a gang are sent or none. The end of the term cuts none of them off;
+//     a later planner that finds only some members running stops them.
 //   - Run numbers grow with the term, so that no number is used twice.
 //   - A run whose order got no answer keeps its capacity until a report made
 //     after the order expired does not list it.
@@ -43,6 +45,7 @@
 	"context"
 	"log/slog"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -116,7 +119,8 @@
 	placeWriteDelay   = 250 * time.Millisecond  // for places of tasks that were started without
 	writeRetry        = 100 * time.Millisecond  // after a failed write
 	unlistedGrace     = 2500 * time.Millisecond // an entry that expired during a store outage is back by then
-	storeAwayTime     = 500 * time.Millisecond  // without an answer to a write; planned runs then give their capacity back
+	storeAwayTime     = 500 * time.Millisecond  // without an answer to a write; planned runs then give their capacity back,
+	maxStoreAwayTime  = 2 * time.Second         // but no sooner than twice the usual time of a write, at most this
 	historyTime       = 8 * time.Second         // of the worker list, that a new planner reads
 	historyReadTime   = 3 * time.Second         // longest time of reading it
 	minRefusals       = 2                       // refused connections in a row that show that a worker has ended
@@ -137,6 +141,7 @@
 	list   *crankfleet.List
 	writer *crankfeed.Writer
 	ctx    context.Context
+	orders sync.WaitGroup // start orders without an answer
 
 	revision          int64 // of the job state, last applied
 	jobs              map[string]*job
@@ -147,9 +152,12 @@
 	unaccounted       map[string]time.Time               // incarnations of the inherited roster whose runs are not yet known, and when their leases have expired
 	limits            map[string]crankfleet.FormerLeases // of some of them, that the inherited roster holds
 	placesKnown       bool                               // recorded places refer to the inherited roster
+	adopted           map[*placement]bool                // members of gangs that are not known to have started whole
 	askedRoster       bool                               // the incarnations of the inherited roster that are not listed are asked for their runs
 	writing           bool
 	writeBegun        time.Time
+	unansweredSince   time.Time     // start of the first write since the store last answered one, zero if there is none
+	writeTime         time.Duration // of recent writes
 	retryAt           time.Time
 	changed           bool          // a planning round is needed
 	roundAt           time.Time     // when the next round may begin
@@ -193,6 +201,7 @@
 		acks:        make(map[*worker]int64),
 		roster:      newRoster(),
 		unaccounted: make(map[string]time.Time),
+		adopted:     make(map[*placement]bool),
 		limits:      make(map[string]crankfleet.FormerLeases),
 		health:      make(map[string]*workerHealth),
 		dropped:     make(map[string]bool),
@@ -210,8 +219,8 @@
 // plannerProducer is the producer of the planner's records; the term is its epoch.
 const plannerProducer = "planner"
 
-// Run takes over the term and plans until the context ends. It returns early if the
-// takeover fails.
+// Run takes over the term and plans until the context ends, then waits for the answers to
+// the start orders of gangs. It returns early if the takeover fails.
 func (s *Scheduler) Run(ctx context.Context) {
 	s.ctx = ctx
 	s.writer = crankfeed.NewWriter(crankfeed.WriterConfig{
@@ -230,7 +239,7 @@
 	go feed.Run(ctx)
 	ticker := time.NewTicker(tick)
 	defer ticker.Stop()
-	for {
+	for ctx.Err() == nil {
 		_, changed := s.Jobs.Watch()
 		s.iterate()
 		select {
@@ -242,9 +251,9 @@
 			s.changed = true
 			s.checkPace(time.Now())
 		case <-ctx.Done():
-			return
 		}
 	}
+	s.orders.Wait()
 }
 
 // takeOver fences out the planners of earlier terms in the store and loads what they
@@ -328,6 +337,7 @@
 	if now.Sub(s.timeoutsCheckedAt) >= tick {
 		s.timeoutsCheckedAt = now
 		s.checkTimeouts(now)
+		s.endParts()
 	}
 	if s.changed && s.blindAt.IsZero() && s.Leadership.Valid() && time.Since(s.roundAt) >= minRoundGap {
 		s.changed = false
