--- a/proofs/crankentryproof/stand_meter_test.go
+++ b/proofs/crankentryproof/idle_meter_test.go
@@ -8,8 +8,8 @@
 	crank "cranberrycrank"
 )
 
-// standMeter measures from outside how long accepted jobs stand although they could run.
-type standMeter struct {
+// idleMeter measures from outside how long accepted jobs stand although they could run.
+type idleMeter struct {
 	c         *cluster
 	evacuated string // zone
 	accepted  []string
@@ -18,22 +18,22 @@
 	longest   map[crank.TaskID]time.Duration
 }
 
-func newStandMeter(c *cluster, evacuated string) *standMeter {
-	return &standMeter{c: c, evacuated: evacuated, since: make(map[crank.TaskID]time.Time), longest: make(map[crank.TaskID]time.Duration)}
+func newIdleMeter(c *cluster, evacuated string) *idleMeter {
+	return &idleMeter{c: c, evacuated: evacuated, since: make(map[crank.TaskID]time.Time), longest: make(map[crank.TaskID]time.Duration)}
 }
 
-func (m *standMeter) accept(job string) {
+func (m *idleMeter) accept(job string) {
 	m.accepted, m.calmSince = append(m.accepted, job), time.Now()
 }
 
 // pass lets time pass and looks at the jobs.
-func (m *standMeter) pass(d time.Duration) {
+func (m *idleMeter) pass(d time.Duration) {
 	for begun := time.Now(); time.Since(begun) < d; time.Sleep(samplePeriod) {
 		m.sample()
 	}
 }
 
-func (m *standMeter) sample() {
+func (m *idleMeter) sample() {
 	now, idle := time.Now(), m.inUse() < 0.5
 	for _, id := range m.accepted {
 		spec, _ := m.c.spec(id)
@@ -65,7 +65,7 @@
 
 // note records whether a task stands. The time before the last job came does not count but
 // for tasks that last.
-func (m *standMeter) note(t crank.TaskID, stands, lasts bool, now time.Time) {
+func (m *idleMeter) note(t crank.TaskID, stands, lasts bool, now time.Time) {
 	if !stands {
 		delete(m.since, t)
 		return
@@ -82,7 +82,7 @@
 }
 
 // slots returns how many tasks of a step the workers that may get some have room for.
-func (m *standMeter) slots(st crank.Step, job string) int {
+func (m *idleMeter) slots(st crank.Step, job string) int {
 	held := make(map[string]int)
 	if spec, _ := m.c.spec(job); st.MaxPerWorker > 0 {
 		for i := range spec.Steps {
@@ -106,7 +106,7 @@
 }
 
 // inUse returns the share of the resource of which most is in use.
-func (m *standMeter) inUse() float64 {
+func (m *idleMeter) inUse() float64 {
 	var free, total crank.Demand
 	for id, e := range m.c.workerEntries {
 		free, total = free.Plus(m.c.fleet.Free(id)), total.Plus(e.Capacity)
@@ -116,7 +116,7 @@
 }
 
 // over returns the tasks that stood for longer than a bound.
-func (m *standMeter) over(bound time.Duration) []string {
+func (m *idleMeter) over(bound time.Duration) []string {
 	var over []string
 	for t, d := range m.longest {
 		if d > bound {
--- a/proofs/crankentryproof/stand_test.go
+++ b/proofs/crankentryproof/idle_play_test.go
@@ -10,37 +10,37 @@
 	"pgregory.net/rapid"
 )
 
-// standPlay is a service with drawn jobs and no faults.
-type standPlay struct {
+// idlePlay is a service with drawn jobs and no faults.
+type idlePlay struct {
 	racks     int
 	evacuated string // zone, or empty
-	jobs      []standJob
+	jobs      []idleJob
 }
 
-type standJob struct {
+type idleJob struct {
 	after time.Duration // since the one before
 	queue string
 	key   string
 	steps []crank.Step
 }
 
-func drawStandPlay(t *rapid.T) standPlay {
-	p := standPlay{racks: rapid.IntRange(2, 5).Draw(t, "racks")}
+func drawIdlePlay(t *rapid.T) idlePlay {
+	p := idlePlay{racks: rapid.IntRange(2, 5).Draw(t, "racks")}
 	if rapid.IntRange(0, 3).Draw(t, "evacuates") == 0 {
 		p.evacuated = fmt.Sprintf("z%d", rapid.IntRange(0, p.racks-1).Draw(t, "zone"))
 	}
-	p.jobs = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) standJob { return drawStandJob(t, p.racks) }), 1, 16).Draw(t, "jobs")
+	p.jobs = rapid.SliceOfN(rapid.Custom(func(t *rapid.T) idleJob { return drawIdleJob(t, p.racks) }), 1, 16).Draw(t, "jobs")
 	return p
 }
 
-func drawStandJob(t *rapid.T, racks int) standJob {
-	j := standJob{
+func drawIdleJob(t *rapid.T, racks int) idleJob {
+	j := idleJob{
 		after: time.Duration(rapid.IntRange(0, 25).Draw(t, "after")) * 100 * time.Millisecond,
 		queue: rapid.SampledFrom([]string{"patient", "patient", "urgent"}).Draw(t, "queue"),
 		key:   rapid.SampledFrom([]string{guaranteedKey, unguaranteedKey}).Draw(t, "key"),
 	}
 	for i := range rapid.IntRange(1, 2).Draw(t, "steps") {
-		st := drawStandStep(t, racks)
+		st := drawIdleStep(t, racks)
 		if i > 0 && !j.steps[0].LongRunning {
 			st.After = []int{0}
 		}
@@ -49,7 +49,7 @@
 	return j
 }
 
-func drawStandStep(t *rapid.T, racks int) crank.Step {
+func drawIdleStep(t *rapid.T, racks int) crank.Step {
 	drawRack := func(what string) string {
 		if rapid.IntRange(0, 3).Draw(t, what) > 0 {
 			return ""
@@ -75,10 +75,10 @@
 
 // play plays p and returns the tasks that stood for longer than a bound, and what else was
 // wrong.
-func (p standPlay) play(t *testing.T, bound time.Duration) (faults []string) {
+func (p idlePlay) play(t *testing.T, bound time.Duration) (faults []string) {
 	playInCluster(t, func(_ *testing.T, c *cluster) {
 		c.setUpRacks(p.racks)
-		m := newStandMeter(c, p.evacuated)
+		m := newIdleMeter(c, p.evacuated)
 		if p.evacuated != "" {
 			c.store.Put(crank.OperatorTopic, p.evacuated, []byte("{}"))
 			time.Sleep(2 * time.Second)
@@ -101,7 +101,7 @@
 func TestNoJobStandsInAnIdleService(t *testing.T) {
 	t.Parallel()
 	rapid.Check(t, func(r *rapid.T) {
-		p := rapid.Custom(drawStandPlay).Draw(r, "play")
+		p := rapid.Custom(drawIdlePlay).Draw(r, "play")
 		if faults := p.play(t, longestStand+samplePeriod); len(faults) > 0 {
 			r.Fatal(p, faults)
 		}
