--- a/proofs/crankentryproof/idle_test.go
+++ b/proofs/crankentryproof/idle_play_test.go
@@ -78,7 +78,7 @@
 func (p idlePlay) play(t *testing.T, bound time.Duration) (faults []string) {
 	playInCluster(t, func(_ *testing.T, c *cluster) {
 		c.setUpRacks(p.racks)
-		m := newStandMeter(c, p.evacuated)
+		m := newIdleMeter(c, p.evacuated)
 		if p.evacuated != "" {
 			c.store.Put(crank.OperatorTopic, p.evacuated, []byte("{}"))
 			time.Sleep(2 * time.Second)
