Emulator: tasks off their rack are slow

Cause: the fleet stand-in ran a same-rack gang on several racks, and a task away from its data rack, as fast as on the rack, so that placement off a rack cost nothing.

Change: cross-rack-slowdown in the bounds of a site multiplies the time of such tasks. A gang takes the time of its slowest member. The program's settings are not changed.

--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -32,7 +32,10 @@
 	Stuck   func(worker string) bool                             // may be nil; runs there make no progress
 	Odd     func(worker string) bool                             // may be nil; its reports have rows that can't be read
 	MaxEnds int                                                  // ended runs listed in one report, 0 for all
-	Observe func(e Event)                                        // called under the lock, may be nil
+	// CrossRackSlowdown multiplies the time of a gang with SameRack on several racks, and
+	// of a task off its DataRack. 0 is the same as 1.
+	CrossRackSlowdown float64
+	Observe           func(e Event) // called under the lock, may be nil
 }
 
 // Fleet holds all workers and the history for the invariants. It is safe for
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -66,7 +66,7 @@
 	f.running[r.id][r] = true
 	w.observe(Event{Kind: EventStarted, Task: r.id, Run: r.number, Fence: o.Fence})
 	if !step.Gang {
-		f.startWork(r)
+		f.startWork(r, f.workTime(r))
 		return
 	}
 	r.timer = time.AfterFunc(f.Bounds.GangTimeout, func() {
@@ -129,16 +129,16 @@
 	if len(members) < r.step.Tasks {
 		return
 	}
+	duration := f.gangTime(members)
 	for _, m := range members {
 		m.timer.Stop()
-		f.startWork(m)
+		f.startWork(m, duration)
 	}
 }
 
 // startWork starts the timer that ends a run.
-func (f *Fleet) startWork(r *run) {
-	r.working, r.startedAt = true, time.Now()
-	r.duration = f.RunTime(r.id, r.worker.entry.ID)
+func (f *Fleet) startWork(r *run, duration time.Duration) {
+	r.working, r.startedAt, r.duration = true, time.Now(), duration
 	if f.Stuck != nil && f.Stuck(r.worker.entry.ID) {
 		return
 	}
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -89,6 +89,7 @@
 	}
 	r.fleet = crankfakefleet.New(crankfakefleet.Config{
 		Bounds: c.Site.Bounds.Lease(), Specs: r.watch.Spec, Faults: r.fault, Observe: r.observe, MaxEnds: 500,
+		CrossRackSlowdown: c.Site.Bounds.CrossRackSlowdown,
 		RunTime: func(t crank.TaskID, _ string) time.Duration {
 			j, _ := r.watch.Spec(t.Job)
 			if j.Steps[t.Step].LongRunning {
--- a/standin/crankfakesite/site.go
+++ b/standin/crankfakesite/site.go
@@ -39,6 +39,9 @@
 	GangTimeout  time.Duration `ini:"gang-timeout"`
 	Heartbeat    time.Duration `ini:"heartbeat"`
 	Workspaces   int           `ini:"workspaces"`
+	// CrossRackSlowdown multiplies the time of a same-rack gang on several racks, and of a
+	// task away from its data rack.
+	CrossRackSlowdown float64 `ini:"cross-rack-slowdown"`
 }
 
 // Lease returns the bounds of leases.
