Emulator: a stand in the calm counts from its beginning

Cause: a job that stood still counted as broken only from the time when the jobs are asked for; a stand of 10 s that began before and ended 2 s after it was shown as early. A task that lasts counted only while under half of the pool was in use, and only after that time.

Change: 3 s in the calm (no disturbance then and in the 4 s before) count if the stand reaches the time of asking, and for tasks that last at any time, however full the pool is. What counted before still does.

Result: TestStandInTheCalmUpToTheAskingIsLost, TestTaskThatLastsIsLostInAFullPool and TestTaskThatLastsIsLostAtAnyTimeInTheCalm, which the former check doesn't pass.

--- a/standin/crankfakereport/report.go
+++ b/standin/crankfakereport/report.go
@@ -23,8 +23,8 @@
 	Begun      time.Time
 	Asked      time.Time // when the jobs were asked for
 	Counts     map[string]int
-	Lost       []crankfakewatch.Still // that stood still after Asked
-	Early      []crankfakewatch.Still // that stood still as long, in part before Asked
+	Lost       []crankfakewatch.Still // that stood still too long
+	Early      []crankfakewatch.Still // that stood still as long, but in disturbances before Asked
 	Stills     []crankfakewatch.Still
 	Violations []string
 	RigFaults  []string
@@ -145,8 +145,8 @@
 	}
 	for _, id := range slices.Sorted(maps.Keys(longest)) {
 		s := longest[id]
-		fmt.Fprintf(w, "%s: job %s (%s) has nothing running from %s to %s (%.1f s, %.1f s to %.1f s after the traffic's start), task %s could run by ends %v; %d runs so far, stands still %v\n",
-			what, s.Job, s.Class, clock(s.From), clock(s.To), s.To.Sub(s.From).Seconds(), s.From.Sub(r.Begun).Seconds(), s.To.Sub(r.Begun).Seconds(), s.Task, slices.Sorted(maps.Keys(views[id])), s.Runs, s.Open)
+		fmt.Fprintf(w, "%s: job %s (%s) has nothing running from %s to %s (%.1f s, %.1f s of it calm, %.1f s to %.1f s after the traffic's start), task %s could run by ends %v; %d runs so far, stands still %v\n",
+			what, s.Job, s.Class, clock(s.From), clock(s.To), s.To.Sub(s.From).Seconds(), s.Calm.Seconds(), s.From.Sub(r.Begun).Seconds(), s.To.Sub(r.Begun).Seconds(), s.Task, slices.Sorted(maps.Keys(views[id])), s.Runs, s.Open)
 		for _, reason := range r.Reasons[s.Job] {
 			fmt.Fprintln(w, "    ", reason)
 		}
--- a/standin/crankfakewatch/still.go
+++ b/standin/crankfakewatch/still.go
@@ -71,6 +71,7 @@
 func (w *Watch) Tick(now time.Time) Progress {
 	r := newRoom(w.Workers())
 	p := Progress{InUse: r.inUse}
+	calm := w.Calm()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, j := range w.jobs {
@@ -79,27 +80,28 @@
 		}
 		for _, v := range []View{ViewWorker, ViewNoted} {
 			t, stands := j.standing(r, now, v)
-			w.note(j, stillKey{View: v}, t, stands, now)
+			w.note(j, stillKey{View: v}, t, stands, now, calm)
 			if stands && v == ViewWorker {
 				p.Still++
 			}
 		}
 		if j.Lasting {
-			w.tickLasting(j, r, now)
+			w.tickLasting(j, r, now, calm)
 		}
 	}
 	return p
 }
 
-func (w *Watch) tickLasting(j *job, r *room, now time.Time) {
+func (w *Watch) tickLasting(j *job, r *room, now time.Time, calm bool) {
 	for i := range j.Steps[0].Tasks {
 		t := crank.TaskID{Job: j.ID, Index: i}
 		since := j.lastRun[t]
 		if since.IsZero() {
 			since = j.acceptedAt
 		}
-		stands := j.owed() && j.running[t] == 0 && now.Sub(since) > lastingGrace && r.halfFree && r.hasTwice(j.Steps[0])
-		w.note(j, stillKey{View: ViewWorker, Task: t}, t, stands, now)
+		stands := j.owed() && j.running[t] == 0 && now.Sub(since) > lastingGrace && r.hasTwice(j.Steps[0])
+		w.note(j, stillKey{View: ViewWorker, Task: t}, t, stands && r.halfFree, now, calm)
+		w.note(j, stillKey{View: ViewFull, Task: t}, t, stands, now, calm)
 	}
 }
 
@@ -148,20 +150,36 @@
 	return crank.TaskID{}, false
 }
 
-func (w *Watch) note(j *job, k stillKey, t crank.TaskID, stands bool, now time.Time) {
+func (w *Watch) note(j *job, k stillKey, t crank.TaskID, stands bool, now time.Time, calm bool) {
 	s := j.still[k]
-	switch {
-	case stands && s == nil:
-		j.still[k] = &Still{Job: j.ID, Class: j.Class, Task: t, View: k.View, From: now, To: now, Runs: j.runs, Open: true}
-	case stands:
-		s.To = now
-	case s != nil:
-		s.To, s.Open = now, false
+	if s == nil && !stands {
+		return
+	}
+	if s == nil {
+		s = &Still{Job: j.ID, Class: j.Class, Task: t, View: k.View, From: now, Runs: j.runs, Open: true}
+		j.still[k] = s
+	}
+	s.extend(now, calm)
+	if !stands {
+		s.Open = false
 		w.stills = append(w.stills, *s)
 		delete(j.still, k)
 	}
 }
 
+func (s *Still) extend(now time.Time, calm bool) {
+	s.To = now
+	switch {
+	case !calm:
+		s.calmFrom = time.Time{}
+	case s.calmFrom.IsZero():
+		s.calmFrom = now
+	}
+	if calm {
+		s.Calm = max(s.Calm, now.Sub(s.calmFrom))
+	}
+}
+
 // Stills returns the times in which jobs stood still, the latest first.
 func (w *Watch) Stills() []Still {
 	w.mu.Lock()
@@ -176,8 +194,8 @@
 	return all
 }
 
-// Lost returns the stills that break the bound: StillTime at one time after the
-// jobs are asked for.
+// Lost returns the stills that break the bound: after the jobs are asked for, or in the
+// calm, if they last until then or concern a task that lasts.
 func Lost(all []Still, asked time.Time, bound time.Duration) []Still {
 	var lost []Still
 	for _, s := range all {
@@ -185,7 +203,9 @@
 		if from.Before(asked) {
 			from = asked
 		}
-		if s.To.Sub(from) >= bound {
+		after := s.To.Sub(from) >= bound && s.View != ViewFull
+		inCalm := s.Calm >= bound && (s.View == ViewFull || !s.To.Before(asked))
+		if after || inCalm {
 			lost = append(lost, s)
 		}
 	}
--- a/standin/crankfakewatch/still_test.go
+++ b/standin/crankfakewatch/still_test.go
@@ -36,6 +36,16 @@
 	w.Observe(crankfakefleet.Event{At: at(seconds), Kind: k, Task: crank.TaskID{Job: "a", Step: step}, Run: 1, How: how})
 }
 
+// lostAsked ticks over a span and returns the number of stills that are lost with jobs
+// asked for at its end.
+func (w *Watch) lostAsked(from, to float64) int {
+	for s := from; s < to; s += 0.1 {
+		w.Tick(at(s))
+	}
+	w.Tick(at(to))
+	return len(Lost(w.Stills(), at(to), 3*time.Second))
+}
+
 // lost ticks over a span and returns the number of stills of at least 3 s by view.
 func (w *Watch) lost(from, to float64) map[View]int {
 	for s := from; s <= to; s += 0.1 {
@@ -97,6 +107,66 @@
 	}
 }
 
+func TestStandInTheCalmUpToTheAskingIsLost(t *testing.T) {
+	if n := newWatch(10).lostAsked(0, 3.2); n != 2 {
+		t.Errorf("%d stills are lost; want one by each view", n)
+	}
+}
+
+func TestStandThatEndsBeforeTheAskingIsNotLost(t *testing.T) {
+	w := newWatch(10)
+	for s := 0.0; s < 5; s += 0.1 {
+		w.Tick(at(s))
+	}
+	w.event(5, crankfakefleet.EventStarted, 0, "")
+	if n := w.lostAsked(5, 9); n != 0 {
+		t.Errorf("%d stills are lost; want none", n)
+	}
+}
+
+func TestStandInDisturbancesIsLostFromTheAskingOnly(t *testing.T) {
+	w := newWatch(10)
+	calm := 0
+	w.Config.Calm = func() bool { calm++; return calm%20 != 0 } // 1.9 s at a time
+	if n := w.lostAsked(0, 9); n != 0 {
+		t.Errorf("%d stills are lost; want none", n)
+	}
+	w.Tick(at(12.2))
+	if n := len(Lost(w.Stills(), at(9), 3*time.Second)); n != 2 {
+		t.Errorf("%d stills are lost; want one by each view", n)
+	}
+}
+
+// newLasting returns a watch with an accepted job of one task that lasts.
+func newLasting(free int) *Watch {
+	w := newWatch(free)
+	w.Submitting(crankfakesite.Job{Lasting: true, StepJob: crank.StepJob{ID: "b", Steps: []crank.Step{{Tasks: 1, Demand: task, LongRunning: true}}}})
+	w.Answered("b", Accepted)
+	w.jobs["b"].acceptedAt = begun
+	delete(w.jobs, "a")
+	return w
+}
+
+func TestTaskThatLastsIsLostInAFullPool(t *testing.T) {
+	if n := newLasting(4).lost(0, 9.5); n[ViewFull] != 1 || n[ViewWorker] != 0 {
+		t.Errorf("lost by view: %v; want it by the view for a full pool only", n)
+	}
+}
+
+func TestTaskThatLastsIsLostAtAnyTimeInTheCalm(t *testing.T) {
+	w := newLasting(4)
+	w.lost(0, 9.5)
+	w.Observe(crankfakefleet.Event{At: at(9.6), Kind: crankfakefleet.EventStarted, Task: crank.TaskID{Job: "b"}, Run: 1})
+	if n := w.lostAsked(9.6, 20); n != 1 {
+		t.Errorf("%d stills are lost; want one", n)
+	}
+	disturbed := newLasting(4)
+	disturbed.Config.Calm = func() bool { return false }
+	if n := disturbed.lostAsked(0, 20); n != 0 {
+		t.Errorf("%d stills are lost; want none", n)
+	}
+}
+
 func TestFailedAndCancelledJobsAreNotOwed(t *testing.T) {
 	failed := newWatch(10)
 	failed.event(0, crankfakefleet.EventEnded, 0, crank.EndFailed)
--- a/standin/crankfakewatch/watch.go
+++ b/standin/crankfakewatch/watch.go
@@ -69,6 +69,8 @@
 const (
 	ViewWorker View = "worker" // ends that workers saw
 	ViewNoted  View = "noted"  // ends that were acknowledged to workers
+	// ViewFull is ViewWorker for a task that lasts, however full the pool is.
+	ViewFull View = "full"
 )
 
 // Still is a time in which a job had nothing running, though a task could run.
@@ -81,6 +83,9 @@
 	To    time.Time
 	Runs  int // of the job so far
 	Open  bool
+	Calm  time.Duration // its longest part in the calm
+
+	calmFrom time.Time // of the part that lasts, zero for none
 }
 
 // New returns a watch without jobs.
