Emulator: jobs with data racks, kinds, limits per worker, services and poison

Cause: the emulator's jobs had no data rack, required label, limit of tasks per worker, latency or best-effort step, wrong estimate, uneven tasks or tasks that always fail.

Workers are of several kinds in turn, guarantees are a share of the accelerators, and the fleet checks labels and limits at each start. Capacity for a job that stands still is counted on the workers that it may use.

--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -105,6 +105,9 @@
 			}
 		}
 	}
+	if !r.worker.isAllowed(r) {
+		f.recordViolation("task %s was started on worker %s against its label or its limit of tasks per worker", id, r.worker.entry.ID)
+	}
 	free := r.worker.entry.Capacity.Minus(r.step.ReservedCapacity())
 	for _, other := range r.worker.runs {
 		free = free.Minus(other.step.ReservedCapacity())
@@ -278,7 +281,9 @@
 	r.Ended = append(r.Ended, ended...)
 	for _, run := range w.runs {
 		a := crank.ActiveRun{Task: run.id, Run: run.number, Checkpoint: run.checkpoint}
-		if run.working && (w.fleet.Stuck == nil || !w.fleet.Stuck(w.entry.ID)) {
+		if run.working && run.step.LongRunning {
+			a.Percent = 100
+		} else if run.working && (w.fleet.Stuck == nil || !w.fleet.Stuck(w.entry.ID)) {
 			a.Percent = min(100, 100*float64(time.Since(run.startedAt))/float64(run.duration))
 		}
 		r.Active = append(r.Active, a)
--- a/standin/crankfakeplatform/job.go
+++ b/standin/crankfakeplatform/job.go
@@ -16,6 +16,7 @@
 			"estimated_duration_ms": s.RunTime.Milliseconds(), "after": s.After, "checkpointing": s.Checkpoints, "gang": s.Gang,
 			"same_rack": s.SameRack, "requirements": s.Label, "affinity": s.DataRack, "anti_affinity": s.MaxPerWorker,
 			"long_running": s.LongRunning, "fill_count": s.BestEffort,
+			"target_ms": s.Latency.Milliseconds(), "max_unavailable": s.MaxUnavailable,
 		})
 	}
 	body["steps"] = steps
--- a/standin/crankfakerig/operator.go
+++ b/standin/crankfakerig/operator.go
@@ -40,7 +40,7 @@
 	}
 	c := crankfakeplatform.Configuration{
 		Version: o.version, Keys: o.keys,
-		Guaranteed: workers * o.rig.Site.Worker.Accelerators / 2 / len(o.keys),
+		Guaranteed: int(float64(workers*o.rig.Site.Worker.Accelerators)*o.rig.Site.Bounds.GuaranteedShare) / len(o.keys),
 	}
 	for _, class := range o.rig.Site.Classes {
 		c.Queues = append(c.Queues, crankfakeplatform.Queue{
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -91,15 +91,15 @@
 		Bounds: c.Site.Bounds.Lease(), Specs: r.watch.Spec, Faults: r.fault, Observe: r.observe, MaxEnds: 500,
 		CrossRackSlowdown: c.Site.Bounds.CrossRackSlowdown,
 		RunTime: func(t crank.TaskID, _ string) time.Duration {
-			j, _ := r.watch.Spec(t.Job)
+			j, _ := r.watch.Job(t.Job)
 			if j.Steps[t.Step].LongRunning {
 				return time.Hour
 			}
-			return j.Steps[t.Step].RunTime
+			return j.WorkTime(t)
 		},
 		Fails: func(t crank.TaskID, run int64, _ string) bool {
-			j, _ := r.watch.Spec(t.Job)
-			return hash(t, run, c.Seed) < classes[j.Queue].Failing
+			j, _ := r.watch.Job(t.Job)
+			return j.Poisoned || hash(t, run, c.Seed) < classes[j.Queue].Failing
 		},
 	})
 	r.dialer = r.fleet
--- a/standin/crankfakerig/site.go
+++ b/standin/crankfakerig/site.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -39,15 +38,11 @@
 }
 
 func (r *Rig) addMachine(z crankfakesite.Zone, n int) error {
-	w := r.Site.Worker
-	rack := fmt.Sprintf("%s-r%d", z.Name, n/w.RackSize)
+	entry := r.Site.Entry(z, n)
+	entry.Pool = pool
 	m, err := crankfakemachine.Start(crankfakemachine.Config{
 		Name: machineName(z, n), Heartbeat: r.Site.Bounds.Heartbeat, Fleet: r.fleet, Dialer: r.dialer, Store: r.store,
-		Entry: crank.WorkerEntry{
-			Pool: pool, Zone: z.Name, Rack: rack, Labels: []string{"a", rack},
-			Capacity: crank.Demand{MilliCores: w.MilliCores, MemoryMiB: w.MemoryMiB, Accelerators: w.Accelerators},
-		},
-		Ports: r.ports, SetFault: r.setFault, Ghosts: r.ghosts,
+		Entry: entry, Ports: r.ports, SetFault: r.setFault, Ghosts: r.ghosts,
 	})
 	if err != nil {
 		return err
--- a/standin/crankfakesite/site.go
+++ b/standin/crankfakesite/site.go
@@ -42,6 +42,7 @@
 	// CrossRackSlowdown multiplies the time of a same-rack gang on several racks, and of a
 	// task away from its data rack.
 	CrossRackSlowdown float64 `ini:"cross-rack-slowdown"`
+	GuaranteedShare   float64 `ini:"guaranteed-share"` // of the accelerators, half by default
 }
 
 // Lease returns the bounds of leases.
@@ -49,12 +50,13 @@
 	return crank.LeaseBounds{MaxLease: b.LongestLease, StopTime: b.StopTime, GangTimeout: b.GangTimeout, Heartbeat: b.Heartbeat}
 }
 
-// Worker is the capacity of each worker.
+// Worker describes the workers.
 type Worker struct {
-	MilliCores   int `ini:"milli-cores"`
-	MemoryMiB    int `ini:"memory-mib"`
-	Accelerators int `ini:"accelerators"`
-	RackSize     int `ini:"rack-size"`
+	MilliCores   int      `ini:"milli-cores"`
+	MemoryMiB    int      `ini:"memory-mib"`
+	Accelerators int      `ini:"accelerators"`
+	RackSize     int      `ini:"rack-size"`
+	Kinds        []string `ini:"kinds"` // labels, one for each worker in turn; a by default
 }
 
 // Size is the share of a core and the memory of an instance.
@@ -96,7 +98,16 @@
 	Failing      float64       `ini:"failing"` // of the runs
 	Times        int           `ini:"times"`   // occurrences of recurring jobs
 	Every        time.Duration `ini:"every"`
-	Lasting      int           `ini:"lasting"` // jobs that last, submitted first
+	DataRack     float64       `ini:"data-rack"`     // of the steps
+	NeedsKind    float64       `ini:"needs-kind"`    // of the steps
+	Apart        float64       `ini:"apart"`         // of the steps without a gang, with a limit of tasks per worker
+	Poisoned     float64       `ini:"poisoned"`      // whose tasks always fail
+	Uneven       float64       `ini:"uneven"`        // deviation of the logarithms of the tasks' times
+	Misjudged    float64       `ini:"misjudged"`     // the same of the estimates
+	Lasting      int           `ini:"lasting"`       // jobs that last, submitted first
+	Services     int           `ini:"services"`      // jobs with a latency step and a best-effort step that last
+	ServiceTasks float64       `ini:"service-tasks"` // mean of a step
+	Latency      time.Duration `ini:"latency"`
 }
 
 // Read reads the description of a site.
@@ -106,7 +117,7 @@
 	if err != nil {
 		return Site{}, crank.Wrap(op, crank.KindInvalid, err)
 	}
-	s := Site{Sizes: make(map[string]Size)}
+	s := Site{Sizes: make(map[string]Size), Bounds: Bounds{GuaranteedShare: 0.5}, Worker: Worker{Kinds: []string{"a"}}}
 	for _, sec := range f.Sections() {
 		kind, name, _ := strings.Cut(sec.Name(), " ")
 		switch kind {
@@ -154,8 +165,8 @@
 
 func (s Site) check() error {
 	const op = "site check"
-	if len(s.Zones) == 0 || len(s.Classes) == 0 || s.Worker.RackSize < 1 || s.Bounds.Workspaces < 1 {
-		return crank.Fail(op, crank.KindInvalid, "zones, classes, workspaces and the rack size are required")
+	if len(s.Zones) == 0 || len(s.Classes) == 0 || s.Worker.RackSize < 1 || len(s.Worker.Kinds) == 0 || s.Bounds.Workspaces < 1 {
+		return crank.Fail(op, crank.KindInvalid, "zones, classes, workspaces, kinds of workers and the rack size are required")
 	}
 	for _, z := range s.Zones {
 		for _, name := range z.Instances {
--- a/standin/crankfakewatch/still.go
+++ b/standin/crankfakewatch/still.go
@@ -16,11 +16,18 @@
 	workers  []crankfakefleet.WorkerState
 	inUse    float64 // share of the resource that is used most
 	halfFree bool
-	fits     map[crank.Demand]int
+	fits     map[place]int
+}
+
+// place is what a worker must have for a task.
+type place struct {
+	demand crank.Demand
+	label  string
+	most   int // tasks per worker, 0 for no limit
 }
 
 func newRoom(workers []crankfakefleet.WorkerState) *room {
-	r := &room{workers: workers, fits: make(map[crank.Demand]int)}
+	r := &room{workers: workers, fits: make(map[place]int)}
 	var free, all crank.Demand
 	for _, s := range workers {
 		free, all = free.Plus(s.Free), all.Plus(s.Entry.Capacity)
@@ -36,11 +43,11 @@
 
 // hasTwice reports whether there is capacity for the task, or its whole gang, twice.
 func (r *room) hasTwice(s crank.Step) bool {
-	need := s.ReservedCapacity()
+	need := place{s.ReservedCapacity(), s.Label, s.MaxPerWorker}
 	n, ok := r.fits[need]
 	if !ok {
 		for _, w := range r.workers {
-			n += count(w.Free, need)
+			n += need.count(w)
 		}
 		r.fits[need] = n
 	}
@@ -50,6 +57,18 @@
 	return n >= 2
 }
 
+// count returns how many tasks fit on a worker without others of their step.
+func (p place) count(w crankfakefleet.WorkerState) int {
+	if p.label != "" && !slices.Contains(w.Entry.Labels, p.label) {
+		return 0
+	}
+	n := count(w.Free, p.demand)
+	if p.most > 0 {
+		n = min(n, p.most)
+	}
+	return n
+}
+
 // count returns how often a demand fits.
 func count(free, need crank.Demand) int {
 	n := 1 << 20
@@ -93,15 +112,17 @@
 }
 
 func (w *Watch) tickLasting(j *job, r *room, now time.Time, calm bool) {
-	for i := range j.Steps[0].Tasks {
-		t := crank.TaskID{Job: j.ID, Index: i}
-		since := j.lastRun[t]
-		if since.IsZero() {
-			since = j.acceptedAt
-		}
-		stands := j.owed() && j.running[t] == 0 && now.Sub(since) > lastingGrace && r.hasTwice(j.Steps[0])
-		w.note(j, stillKey{View: ViewWorker, Task: t}, t, stands && r.halfFree, now, calm)
-		w.note(j, stillKey{View: ViewFull, Task: t}, t, stands, now, calm)
+	for n, s := range j.Steps {
+		for i := range s.Tasks {
+			t := crank.TaskID{Job: j.ID, Step: n, Index: i}
+			since := j.lastRun[t]
+			if since.IsZero() {
+				since = j.acceptedAt
+			}
+			stands := j.owed() && j.running[t] == 0 && now.Sub(since) > lastingGrace && r.hasTwice(s)
+			w.note(j, stillKey{View: ViewWorker, Task: t}, t, stands && r.halfFree, now, calm)
+			w.note(j, stillKey{View: ViewFull, Task: t}, t, stands, now, calm)
+		}
 	}
 }
 
--- a/standin/crankfakewatch/still_test.go
+++ b/standin/crankfakewatch/still_test.go
@@ -107,6 +107,16 @@
 	}
 }
 
+func TestJobWithoutAllowedWorkersIsNotLost(t *testing.T) {
+	for _, s := range []crank.Step{{Tasks: 1, Demand: task, Label: "b"}, {Tasks: 2, Demand: task, Gang: true, MaxPerWorker: 1}} {
+		w := newWatch(10)
+		w.jobs["a"].Steps = []crank.Step{s}
+		if n := w.lost(0, 9); len(n) != 0 {
+			t.Errorf("step %+v: lost by view: %v; want none", s, n)
+		}
+	}
+}
+
 func TestStandInTheCalmUpToTheAskingIsLost(t *testing.T) {
 	if n := newWatch(10).lostAsked(0, 3.2); n != 2 {
 		t.Errorf("%d stills are lost; want one by each view", n)
--- a/standin/crankfakewatch/watch.go
+++ b/standin/crankfakewatch/watch.go
@@ -129,15 +129,21 @@
 	w.jobs[id].cancelAcked = time.Now()
 }
 
-// Spec returns a submitted job.
-func (w *Watch) Spec(id string) (crank.StepJob, bool) {
+// Job returns a submitted job.
+func (w *Watch) Job(id string) (crankfakesite.Job, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j, ok := w.jobs[id]
 	if !ok {
-		return crank.StepJob{}, false
+		return crankfakesite.Job{}, false
 	}
-	return j.StepJob, true
+	return j.Job, true
+}
+
+// Spec returns the steps of a submitted job.
+func (w *Watch) Spec(id string) (crank.StepJob, bool) {
+	j, ok := w.Job(id)
+	return j.StepJob, ok
 }
 
 // Violations returns the rules broken so far.
