Emulator: patient callers, lost answers, repeated submissions

Cause: every caller waited for the answer time, had the answer if there was one, and submitted a job once it was accepted never again.

Change: a section callers in the description of a site with the shares of each; none without it.

--- a/standin/crankfakerig/caller.go
+++ b/standin/crankfakerig/caller.go
@@ -49,12 +49,28 @@
 	if j.Repeat.Times > 0 {
 		j.Repeat.First = time.Now().Add(j.FirstAfter)
 	}
+	limit := r.Site.Bounds.AnswerTime
+	if crankfakesite.Chance(rng, r.Site.Callers.Patient) {
+		limit = r.Site.Callers.PatientTime
+	}
+	attempt := func() crankfakewatch.Answer { return r.post(ctx, j, r.pick(j.Zone, rng), limit) }
 	r.watch.Submitting(j)
-	result := r.submit(ctx, j, rng)
+	result := r.submit(ctx, rng, attempt)
 	r.watch.Answered(j.ID, result)
 	if result != crankfakewatch.Accepted {
 		return
 	}
+	if crankfakesite.Chance(rng, r.Site.Callers.Repeats) {
+		after := time.Duration(rng.Float64() * float64(r.Site.Callers.RepeatTime))
+		again := rand.New(rand.NewPCG(rng.Uint64(), 1))
+		var repeating sync.WaitGroup
+		defer repeating.Wait()
+		repeating.Go(func() {
+			if sleep(ctx, after) == nil {
+				r.post(ctx, j, r.pick(j.Zone, again), limit)
+			}
+		})
+	}
 	if j.CancelAfter == 0 {
 		if sleep(ctx, 2*time.Second) == nil {
 			r.ask(ctx, j, rng)
@@ -79,13 +95,15 @@
 
 func key(j crankfakesite.Job) string { return "key-of-" + j.Workspace }
 
-func (r *Rig) submit(ctx context.Context, j crankfakesite.Job, rng *rand.Rand) crankfakewatch.Answer {
+// submit attempts a submission until the caller knows that it was accepted.
+func (r *Rig) submit(ctx context.Context, rng *rand.Rand, attempt func() crankfakewatch.Answer) crankfakewatch.Answer {
 	result := crankfakewatch.Refused
 	for range submitAttempts {
-		switch r.post(ctx, j, r.pick(j.Zone, rng)) {
-		case crankfakewatch.Accepted:
-			return crankfakewatch.Accepted
-		case crankfakewatch.Unknown:
+		a := attempt()
+		if a == crankfakewatch.Accepted && !crankfakesite.Chance(rng, r.Site.Callers.LostAnswers) {
+			return a
+		}
+		if a != crankfakewatch.Refused {
 			result = crankfakewatch.Unknown
 		}
 		if sleep(ctx, retryDelay) != nil {
@@ -95,9 +113,9 @@
 	return result
 }
 
-// post makes one attempt to submit a job.
-func (r *Rig) post(ctx context.Context, j crankfakesite.Job, i *crankfakeinstance.Instance) crankfakewatch.Answer {
-	a := r.send(ctx, http.MethodPost, i.Addr(), path(j), key(j), crankfakeplatform.EncodeJob(j.StepJob))
+// post makes one attempt to submit a job and waits for the answer up to a limit.
+func (r *Rig) post(ctx context.Context, j crankfakesite.Job, i *crankfakeinstance.Instance, limit time.Duration) crankfakewatch.Answer {
+	a := r.sendWithin(ctx, limit, http.MethodPost, i.Addr(), path(j), key(j), crankfakeplatform.EncodeJob(j.StepJob))
 	switch a.status {
 	case http.StatusOK, http.StatusCreated, http.StatusAccepted:
 		return crankfakewatch.Accepted
@@ -143,7 +161,11 @@
 }
 
 func (r *Rig) send(ctx context.Context, method, addr, path, key string, body []byte) answer {
-	ctx, cancel := context.WithTimeout(ctx, r.Site.Bounds.AnswerTime)
+	return r.sendWithin(ctx, r.Site.Bounds.AnswerTime, method, addr, path, key, body)
+}
+
+func (r *Rig) sendWithin(ctx context.Context, limit time.Duration, method, addr, path, key string, body []byte) answer {
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, method, "http://"+addr+path, bytes.NewReader(body))
 	if err != nil {
@@ -152,7 +174,7 @@
 	req.Host = host
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("X-Cranberrycrank-Key", key)
-	req.Header.Set("X-Cranberrycrank-Deadline-Ms", fmt.Sprint(r.Site.Bounds.AnswerTime.Milliseconds()))
+	req.Header.Set("X-Cranberrycrank-Deadline-Ms", fmt.Sprint(limit.Milliseconds()))
 	res, err := r.client.Do(req)
 	if err != nil {
 		return answer{}
--- a/standin/crankfakerig/drive.go
+++ b/standin/crankfakerig/drive.go
@@ -29,7 +29,7 @@
 // Submit submits a new job to an instance, once.
 func (r *Rig) Submit(ctx context.Context, j crankfakesite.Job, i *crankfakeinstance.Instance) crankfakewatch.Answer {
 	r.watch.Submitting(j)
-	a := r.post(ctx, j, i)
+	a := r.post(ctx, j, i, r.Site.Bounds.AnswerTime)
 	r.watch.Answered(j.ID, a)
 	return a
 }
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -80,7 +80,7 @@
 	}
 	r := &Rig{
 		Config: c, store: crankfakestore.New(), ports: ports, faults: make(map[string]crankfakefleet.Fault),
-		client: &http.Client{Timeout: c.Site.Bounds.AnswerTime + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxIdleConns: 4096}},
+		client: &http.Client{Timeout: max(c.Site.Bounds.AnswerTime, c.Site.Callers.PatientTime) + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxIdleConns: 4096}},
 	}
 	r.watch = crankfakewatch.New(crankfakewatch.Config{Bounds: c.Site.Bounds, Workers: r.schedulable, Calm: r.calm})
 	classes := make(map[string]crankfakesite.Class)
--- a/standin/crankfakesite/job.go
+++ b/standin/crankfakesite/job.go
@@ -140,7 +140,7 @@
 		s.constrain(rng, c, &step)
 		j.Steps = append(j.Steps, step)
 	}
-	j.Uneven, j.Poisoned = c.Uneven, chance(rng, c.Poisoned)
+	j.Uneven, j.Poisoned = c.Uneven, Chance(rng, c.Poisoned)
 	if rng.Float64() < c.Cancelled {
 		j.CancelAfter = time.Second + time.Duration(rng.Float64()*6*float64(time.Second))
 	}
@@ -153,14 +153,14 @@
 
 // constrain draws where the tasks of a step are to run, and how far its estimate is off.
 func (s Site) constrain(rng *rand.Rand, c Class, step *crank.Step) {
-	if chance(rng, c.DataRack) {
+	if Chance(rng, c.DataRack) {
 		racks := s.racks()
 		step.DataRack = racks[rng.IntN(len(racks))]
 	}
-	if chance(rng, c.NeedsKind) {
+	if Chance(rng, c.NeedsKind) {
 		step.Label = s.Worker.Kinds[rng.IntN(len(s.Worker.Kinds))]
 	}
-	if !step.Gang && chance(rng, c.Apart) {
+	if !step.Gang && Chance(rng, c.Apart) {
 		step.MaxPerWorker = 1 + rng.IntN(3)
 	}
 	if c.Misjudged > 0 {
@@ -168,8 +168,8 @@
 	}
 }
 
-// chance draws whether an event of a probability occurs.
-func chance(rng *rand.Rand, p float64) bool { return p > 0 && rng.Float64() < p }
+// Chance draws whether an event of a probability occurs.
+func Chance(rng *rand.Rand, p float64) bool { return p > 0 && rng.Float64() < p }
 
 // spread draws a factor with mean 1.
 func spread(rng *rand.Rand, sigma float64) float64 {
--- a/standin/crankfakesite/site.go
+++ b/standin/crankfakesite/site.go
@@ -19,6 +19,7 @@
 	Sizes   map[string]Size // of instances
 	Zones   []Zone
 	Classes []Class
+	Callers Callers
 }
 
 // Bounds are the times within which the site must do what it promises.
@@ -59,6 +60,15 @@
 	Kinds        []string `ini:"kinds"` // labels, one for each worker in turn; a by default
 }
 
+// Callers describes what callers do beside submitting a job and asking for it.
+type Callers struct {
+	Patient     float64       `ini:"patient"` // share that wait for PatientTime instead of the answer time
+	PatientTime time.Duration `ini:"patient-time"`
+	LostAnswers float64       `ini:"lost-answers"` // share of the submissions whose acceptance is lost
+	Repeats     float64       `ini:"repeats"`      // share of the accepted jobs that are submitted again
+	RepeatTime  time.Duration `ini:"repeat-time"`  // after the acceptance, at most
+}
+
 // Size is the share of a core and the memory of an instance.
 type Size struct {
 	Share     float64 `ini:"processor-share"`
@@ -123,6 +133,8 @@
 		switch kind {
 		case "bounds":
 			err = mapSection(sec, &s.Bounds)
+		case "callers":
+			err = mapSection(sec, &s.Callers)
 		case "worker":
 			err = mapSection(sec, &s.Worker)
 		case "size":
