Emulator: workers differ in speed, fail runs, answer late, pretend, flap

Cause: all workers were alike and sound but for being lost or refusing all calls.

Change: speeds of the workers in the description of a site, and the disturbances fail, slow, pretend and flap. They are drawn for sites whose traffic goes on after the last disturbance, whose plans end with the main traffic; other plans are as before. A report takes the fleet's violations before the rig's lock: the fleet asks the rig under its own.

--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -20,6 +20,7 @@
 	DropResponse bool          // the call takes effect, its response is lost
 	EffectDelay  time.Duration // the call takes effect this long after it was received, its response is lost
 	Refuse       bool          // the worker is unhealthy: the call has no effect
+	RefuseStart  bool          // the same for starts only
 }
 
 // Config defines the jobs, run times and faults of a Fleet.
@@ -317,7 +318,7 @@
 	switch {
 	case fault.DropRequest:
 		return awaitCancel()
-	case fault.Refuse:
+	case fault.Refuse, fault.RefuseStart && method == "start":
 		return crank.Fail(op, crank.KindUnavailable, "the worker is unhealthy")
 	}
 	c.fleet.mu.Lock()
--- a/standin/crankfakemachine/machine.go
+++ b/standin/crankfakemachine/machine.go
@@ -18,15 +18,16 @@
 
 // Config holds the settings of a Machine.
 type Config struct {
-	Name      string
-	Entry     crank.WorkerEntry // without ID, address and start time
-	Ports     *crankfakenet.Ports
-	Heartbeat time.Duration
-	Fleet     *crankfakefleet.Fleet
-	Dialer    crank.LeaseDialer // of the fleet, unless a test plants a fault
-	Store     *crankfakestore.Store
-	SetFault  func(worker string, f crankfakefleet.Fault) // of later calls, the zero value for none
-	Ghosts    bool                                        // a test's: workers that left stay listed and answer
+	Name       string
+	Entry      crank.WorkerEntry // without ID, address and start time
+	Ports      *crankfakenet.Ports
+	Heartbeat  time.Duration
+	Fleet      *crankfakefleet.Fleet
+	Dialer     crank.LeaseDialer // of the fleet, unless a test plants a fault
+	Store      *crankfakestore.Store
+	SetFault   func(worker string, f crankfakefleet.Fault) // of later calls, the zero value for none
+	SetFailing func(worker string, share float64)          // of the runs that end from now on
+	Ghosts     bool                                        // a test's: workers that left stay listed and answer
 }
 
 // Machine is an address at which one worker after the other may run.
@@ -147,14 +148,20 @@
 	case crankfakeplan.LoseCall:
 		return m.inject(crankfakefleet.Fault{DropResponse: true}), nil
 	case crankfakeplan.Unwell:
-		m.serves = false
-		end := m.inject(crankfakefleet.Fault{Refuse: true})
+		return m.injectUnfit(crankfakefleet.Fault{Refuse: true}), nil
+	case crankfakeplan.Pretend:
+		return m.injectUnfit(crankfakefleet.Fault{RefuseStart: true}), nil
+	case crankfakeplan.Slow:
+		return m.inject(crankfakefleet.Fault{TransitTime: slowTransit}), nil
+	case crankfakeplan.Fail:
+		id := m.entry.ID
+		m.SetFailing(id, failingShares[d.How])
 		return func() error {
-			m.mu.Lock()
-			m.serves = m.reaches
-			m.mu.Unlock()
-			return end()
+			m.SetFailing(id, 0)
+			return nil
 		}, nil
+	case crankfakeplan.Flap:
+		return m.flap(), nil
 	}
 	return nil, crank.Fail("worker disturbance", crank.KindInvalid, "%q is no disturbance of a worker", d.Kind)
 }
--- a/standin/crankfakeplan/draw.go
+++ b/standin/crankfakeplan/draw.go
@@ -11,12 +11,16 @@
 	Workers   []string
 	Zones     []string
 	Traffic   time.Duration // its length
+	Recovery  time.Duration // in which the traffic goes on after the last disturbance; if 0, disturbances follow the traffic
 }
 
 // Draw draws the plan of a seed: disturbances that overlap all through the traffic,
 // then a series around its end.
 func Draw(s Scope, seed uint64) Plan {
 	d := &drawer{Scope: s, rng: rand.New(rand.NewPCG(seed, 2))}
+	if s.Recovery > 0 {
+		return d.day()
+	}
 	for range 4 + d.rng.IntN(5) {
 		d.common(d.between(time.Second, s.Traffic-8*time.Second))
 	}
@@ -135,7 +139,10 @@
 // seconds of the traffic or up to 11 s after it, with workers lost around that moment
 // and the store away at times.
 func (d *drawer) closing() {
-	at := d.between(d.Traffic-7*time.Second, d.Traffic+11*time.Second)
+	d.closingAt(d.between(d.Traffic-7*time.Second, d.Traffic+11*time.Second))
+}
+
+func (d *drawer) closingAt(at time.Duration) {
 	for range 1 + d.rng.IntN(3) {
 		d.workers(max(0, at-d.seconds(-2, 5)), 0.02+0.14*d.rng.Float64())
 	}
--- a/standin/crankfakeplan/plan.go
+++ b/standin/crankfakeplan/plan.go
@@ -34,6 +34,10 @@
 	LateCall Kind = "late"     // starts take effect late, their answers are lost
 	LoseCall Kind = "lose"     // answers of calls are lost
 	Unwell   Kind = "unwell"   // refuses all calls
+	Fail     Kind = "fail"     // its runs fail, or some of them
+	Slow     Kind = "slow"     // answers late
+	Pretend  Kind = "pretend"  // renews leases but refuses starts
+	Flap     Kind = "flap"     // refuses all calls by turns
 	Evacuate Kind = "evacuate" // a zone
 	// Of the store and the operator.
 	SlowStore Kind = "slow-store"
@@ -45,7 +49,7 @@
 
 var kinds = []Kind{
 	Terminate, Kill, Pause, LosePower, HangUp, CutStore, Drain, Take, Remove, Silence, CutOff, LateCall, LoseCall,
-	Unwell, Evacuate, SlowStore, DownStore, Compact, Configure, Withdraw,
+	Unwell, Fail, Slow, Pretend, Flap, Evacuate, SlowStore, DownStore, Compact, Configure, Withdraw,
 }
 
 // Ways in which a worker is back after Silence and CutOff.
@@ -55,6 +59,12 @@
 	BackAlive  = "alive"   // the incarnation that was cut off
 )
 
+// Ways of Fail.
+const (
+	FailAll  = "all"
+	FailSome = "some"
+)
+
 // Disturbance is one line of a plan.
 type Disturbance struct {
 	At      time.Duration // after the start of the traffic
--- a/standin/crankfakeplan/plan_test.go
+++ b/standin/crankfakeplan/plan_test.go
@@ -28,8 +28,11 @@
 }
 
 func TestWrittenPlanReadsTheSame(t *testing.T) {
-	for seed := range uint64(200) {
+	for seed := range uint64(400) {
 		p := Draw(scope(), seed)
+		if seed >= 200 {
+			p = Draw(dayScope(), seed)
+		}
 		var text bytes.Buffer
 		if err := p.Write(&text); err != nil {
 			t.Fatal(err)
@@ -44,18 +47,45 @@
 	}
 }
 
+func dayScope() Scope {
+	s := scope()
+	s.Recovery = 15 * time.Second
+	return s
+}
+
 func TestEveryKindButEvacuationIsDrawn(t *testing.T) {
-	drawn := map[Kind]bool{Evacuate: true}
-	for seed := range uint64(500) {
-		for _, d := range Draw(scope(), seed) {
-			drawn[d.Kind] = true
+	unfit := map[Kind]bool{Fail: true, Slow: true, Pretend: true, Flap: true}
+	for name, c := range map[string]struct {
+		scope   Scope
+		without map[Kind]bool
+	}{"with disturbances after the traffic": {scope(), unfit}, "with a recovery": {dayScope(), nil}} {
+		drawn := map[Kind]bool{Evacuate: true}
+		for seed := range uint64(500) {
+			for _, d := range Draw(c.scope, seed) {
+				drawn[d.Kind] = true
+			}
+		}
+		for _, k := range kinds {
+			if drawn[k] == c.without[k] {
+				t.Errorf("%s: drawn: %v for %s", name, drawn[k], k)
+			}
 		}
 	}
-	for _, k := range kinds {
-		if !drawn[k] {
-			t.Errorf("%s was never drawn", k)
+}
+
+func TestDisturbancesEndBeforeTheRecovery(t *testing.T) {
+	latest := time.Duration(0)
+	for seed := range uint64(500) {
+		for _, d := range Draw(dayScope(), seed) {
+			if d.At < 0 || d.At >= dayScope().Traffic || d.At+d.For > dayScope().Traffic+lastEnd {
+				t.Errorf("seed %d: %s", seed, d)
+			}
+			latest = max(latest, d.At)
 		}
 	}
+	if latest < dayScope().Traffic-time.Second {
+		t.Errorf("the last disturbance begins at %v; want it at the end of the main traffic", latest)
+	}
 }
 
 func TestFaultyPlanIsRefused(t *testing.T) {
--- a/standin/crankfakerig/play.go
+++ b/standin/crankfakerig/play.go
@@ -42,7 +42,8 @@
 	var ends []func() error
 	switch d.Kind {
 	case crankfakeplan.Drain, crankfakeplan.Take, crankfakeplan.Remove, crankfakeplan.Silence, crankfakeplan.CutOff,
-		crankfakeplan.LateCall, crankfakeplan.LoseCall, crankfakeplan.Unwell:
+		crankfakeplan.LateCall, crankfakeplan.LoseCall, crankfakeplan.Unwell,
+		crankfakeplan.Fail, crankfakeplan.Slow, crankfakeplan.Pretend, crankfakeplan.Flap:
 		length := d.For
 		if d.Kind == crankfakeplan.Drain {
 			length = r.Site.Bounds.DrainTime + time.Second
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -58,6 +58,7 @@
 
 	mu          sync.Mutex
 	faults      map[string]crankfakefleet.Fault // by worker ID
+	failing     map[string]float64              // share of the runs by worker ID
 	disturbed   int                             // disturbances that have not ended
 	disturbedAt time.Time                       // the end of the last one
 	storeDown   bool
@@ -79,7 +80,7 @@
 		return nil, err
 	}
 	r := &Rig{
-		Config: c, store: crankfakestore.New(), ports: ports, faults: make(map[string]crankfakefleet.Fault),
+		Config: c, store: crankfakestore.New(), ports: ports, faults: make(map[string]crankfakefleet.Fault), failing: make(map[string]float64),
 		client: &http.Client{Timeout: max(c.Site.Bounds.AnswerTime, c.Site.Callers.PatientTime) + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxIdleConns: 4096}},
 	}
 	r.watch = crankfakewatch.New(crankfakewatch.Config{Bounds: c.Site.Bounds, Workers: r.schedulable, Calm: r.calm})
@@ -90,16 +91,16 @@
 	r.fleet = crankfakefleet.New(crankfakefleet.Config{
 		Bounds: c.Site.Bounds.Lease(), Specs: r.watch.Spec, Faults: r.fault, Observe: r.observe, MaxEnds: 500,
 		CrossRackSlowdown: c.Site.Bounds.CrossRackSlowdown,
-		RunTime: func(t crank.TaskID, _ string) time.Duration {
+		RunTime: func(t crank.TaskID, worker string) time.Duration {
 			j, _ := r.watch.Job(t.Job)
 			if j.Steps[t.Step].LongRunning {
 				return time.Hour
 			}
-			return j.WorkTime(t)
+			return time.Duration(float64(j.WorkTime(t)) / c.Site.Speed(c.Seed, machineOf(worker)))
 		},
-		Fails: func(t crank.TaskID, run int64, _ string) bool {
+		Fails: func(t crank.TaskID, run int64, worker string) bool {
 			j, _ := r.watch.Job(t.Job)
-			return j.Poisoned || hash(t, run, c.Seed) < classes[j.Queue].Failing
+			return j.Poisoned || hash(t, run, c.Seed) < max(classes[j.Queue].Failing, r.failingShare(worker))
 		},
 	})
 	r.dialer = r.fleet
--- a/standin/crankfakerig/site.go
+++ b/standin/crankfakerig/site.go
@@ -42,7 +42,7 @@
 	entry.Pool = pool
 	m, err := crankfakemachine.Start(crankfakemachine.Config{
 		Name: machineName(z, n), Heartbeat: r.Site.Bounds.Heartbeat, Fleet: r.fleet, Dialer: r.dialer, Store: r.store,
-		Entry: entry, Ports: r.ports, SetFault: r.setFault, Ghosts: r.ghosts,
+		Entry: entry, Ports: r.ports, SetFault: r.setFault, SetFailing: r.setFailing, Ghosts: r.ghosts,
 	})
 	if err != nil {
 		return err
@@ -51,6 +51,23 @@
 	return nil
 }
 
+// machineOf returns the name of the machine of a worker.
+func machineOf(worker string) string {
+	return worker[:max(0, strings.LastIndexByte(worker, '-'))]
+}
+
+func (r *Rig) failingShare(worker string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failing[worker]
+}
+
+func (r *Rig) setFailing(worker string, share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing[worker] = share
+}
+
 func (r *Rig) setFault(worker string, f crankfakefleet.Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -137,9 +154,10 @@
 
 func (r *Rig) report(asked time.Time) crankfakereport.Report {
 	report := crankfakereport.New(r.watch, r.begun, asked, r.Site.Bounds.StillTime)
+	inFleet := r.fleet.Violations() // its lock is taken before that of the rig
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report.Seed, report.RigFaults = r.Seed, slices.Clone(r.rigFaults)
-	report.Violations = slices.Concat(r.violations, report.Violations, r.fleet.Violations())
+	report.Violations = slices.Concat(r.violations, report.Violations, inFleet)
 	return report
 }
--- a/standin/crankfakesite/job_test.go
+++ b/standin/crankfakesite/job_test.go
@@ -1,6 +1,7 @@
 package crankfakesite
 
 import (
+	"fmt"
 	"math"
 	"testing"
 	"time"
@@ -98,7 +99,7 @@
 	}
 }
 
-func TestWorkersHaveTheKindsInTurn(t *testing.T) {
+func TestWorkersDifferInKindAndSpeed(t *testing.T) {
 	s := mixedSite(t)
 	labels := make(map[string]int)
 	for n := range s.Zones[0].Workers {
@@ -107,6 +108,16 @@
 	if labels["a"] != 4 || labels["b"] != 4 {
 		t.Errorf("workers by kind: %v; want four each", labels)
 	}
+	s.Worker.Speeds = []float64{0.8, 1, 1.25}
+	speeds := make(map[float64]int)
+	for n := range 3000 {
+		speeds[s.Speed(1, fmt.Sprint(n))]++
+	}
+	for _, v := range s.Worker.Speeds {
+		if speeds[v] < 900 {
+			t.Errorf("workers by speed: %v; want about a third each", speeds)
+		}
+	}
 	if len(s.racks()) != 4 {
 		t.Errorf("racks %v; want four", s.racks())
 	}
--- a/standin/crankfakesite/site.go
+++ b/standin/crankfakesite/site.go
@@ -53,11 +53,12 @@
 
 // Worker describes the workers.
 type Worker struct {
-	MilliCores   int      `ini:"milli-cores"`
-	MemoryMiB    int      `ini:"memory-mib"`
-	Accelerators int      `ini:"accelerators"`
-	RackSize     int      `ini:"rack-size"`
-	Kinds        []string `ini:"kinds"` // labels, one for each worker in turn; a by default
+	MilliCores   int       `ini:"milli-cores"`
+	MemoryMiB    int       `ini:"memory-mib"`
+	Accelerators int       `ini:"accelerators"`
+	RackSize     int       `ini:"rack-size"`
+	Kinds        []string  `ini:"kinds"`  // labels, one for each worker in turn; a by default
+	Speeds       []float64 `ini:"speeds"` // choices, 1 by default
 }
 
 // Callers describes what callers do beside submitting a job and asking for it.
@@ -127,7 +128,7 @@
 	if err != nil {
 		return Site{}, crank.Wrap(op, crank.KindInvalid, err)
 	}
-	s := Site{Sizes: make(map[string]Size), Bounds: Bounds{GuaranteedShare: 0.5}, Worker: Worker{Kinds: []string{"a"}}}
+	s := Site{Sizes: make(map[string]Size), Bounds: Bounds{GuaranteedShare: 0.5}, Worker: Worker{Kinds: []string{"a"}, Speeds: []float64{1}}}
 	for _, sec := range f.Sections() {
 		kind, name, _ := strings.Cut(sec.Name(), " ")
 		switch kind {
@@ -177,8 +178,8 @@
 
 func (s Site) check() error {
 	const op = "site check"
-	if len(s.Zones) == 0 || len(s.Classes) == 0 || s.Worker.RackSize < 1 || len(s.Worker.Kinds) == 0 || s.Bounds.Workspaces < 1 {
-		return crank.Fail(op, crank.KindInvalid, "zones, classes, workspaces, kinds of workers and the rack size are required")
+	if len(s.Zones) == 0 || len(s.Classes) == 0 || s.Worker.RackSize < 1 || len(s.Worker.Kinds) == 0 || len(s.Worker.Speeds) == 0 || s.Bounds.Workspaces < 1 {
+		return crank.Fail(op, crank.KindInvalid, "zones, classes, workspaces, kinds and speeds of workers and the rack size are required")
 	}
 	for _, z := range s.Zones {
 		for _, name := range z.Instances {
--- a/standin/crankfakesite/worker.go
+++ b/standin/crankfakesite/worker.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"hash/fnv"
+	"math/rand/v2"
 
 	crank "cranberrycrank"
 )
@@ -16,6 +18,14 @@
 	}
 }
 
+// Speed draws the speed of a worker's machine.
+func (s Site) Speed(seed uint64, machine string) float64 {
+	h := fnv.New64a()
+	fmt.Fprint(h, machine)
+	rng := rand.New(rand.NewPCG(h.Sum64(), seed))
+	return s.Worker.Speeds[rng.IntN(len(s.Worker.Speeds))]
+}
+
 func rackName(z Zone, n int) string { return fmt.Sprintf("%s-r%d", z.Name, n) }
 
 // racks returns the names of all racks.
