Emulator: traffic goes on after the last disturbance

Cause: the traffic ended with, or before, the last disturbances.

Change: recovery-time of a site lengthens the traffic. Its plans have their last disturbances at the end of the main traffic.

--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -131,7 +131,7 @@
 	var callers sync.WaitGroup
 	callers.Go(func() { r.submitAll(ctx) })
 	r.playing.Go(func() { r.play(ctx) })
-	asked := r.begun.Add(r.Site.Bounds.TrafficTime + r.Site.Bounds.SettleTime)
+	asked := r.begun.Add(r.Site.Bounds.TrafficEnd() + r.Site.Bounds.SettleTime)
 	if err := sleep(ctx, time.Until(asked)); err != nil {
 		return crankfakereport.Report{}, err
 	}
@@ -153,7 +153,7 @@
 
 // Scope returns what the plans of a site are drawn for.
 func Scope(site crankfakesite.Site) crankfakeplan.Scope {
-	s := crankfakeplan.Scope{Traffic: site.Bounds.TrafficTime}
+	s := crankfakeplan.Scope{Traffic: site.Bounds.TrafficTime, Recovery: site.Bounds.RecoveryTime}
 	for _, z := range site.Zones {
 		s.Zones = append(s.Zones, z.Name)
 		for n := range z.Instances {
--- a/standin/crankfakesite/job.go
+++ b/standin/crankfakesite/job.go
@@ -65,7 +65,7 @@
 	at := time.Duration(0)
 	for total > 0 {
 		at += time.Duration(rng.ExpFloat64() / total * float64(time.Second))
-		if at >= s.Bounds.TrafficTime {
+		if at >= s.Bounds.TrafficEnd() {
 			break
 		}
 		j := s.draw(rng, s.drawClass(rng), len(jobs))
--- a/standin/crankfakesite/site.go
+++ b/standin/crankfakesite/site.go
@@ -24,12 +24,13 @@
 
 // Bounds are the times within which the site must do what it promises.
 type Bounds struct {
-	LeadTime     time.Duration `ini:"lead-time"`    // from the start of the instances to the traffic
-	TrafficTime  time.Duration `ini:"traffic-time"` // length of the traffic
-	SettleTime   time.Duration `ini:"settle-time"`  // from the end of the traffic to the checks
-	WatchTime    time.Duration `ini:"watch-time"`   // after SettleTime, at most
-	StillTime    time.Duration `ini:"still-time"`   // that a job may have nothing running
-	AnswerTime   time.Duration `ini:"answer-time"`  // of a caller's request
+	LeadTime     time.Duration `ini:"lead-time"`     // from the start of the instances to the traffic
+	TrafficTime  time.Duration `ini:"traffic-time"`  // length of the main traffic
+	RecoveryTime time.Duration `ini:"recovery-time"` // in which the traffic goes on after the last disturbance
+	SettleTime   time.Duration `ini:"settle-time"`   // from the end of the traffic to the checks
+	WatchTime    time.Duration `ini:"watch-time"`    // after SettleTime, at most
+	StillTime    time.Duration `ini:"still-time"`    // that a job may have nothing running
+	AnswerTime   time.Duration `ini:"answer-time"`   // of a caller's request
 	CancelTime   time.Duration `ini:"cancel-time"`
 	AckTime      time.Duration `ini:"ack-time"` // of a cancellation
 	ConfigTime   time.Duration `ini:"config-time"`
@@ -46,6 +47,9 @@
 	GuaranteedShare   float64 `ini:"guaranteed-share"` // of the accelerators, half by default
 }
 
+// TrafficEnd returns the length of all traffic.
+func (b Bounds) TrafficEnd() time.Duration { return b.TrafficTime + b.RecoveryTime }
+
 // Lease returns the bounds of leases.
 func (b Bounds) Lease() crank.LeaseBounds {
 	return crank.LeaseBounds{MaxLease: b.LongestLease, StopTime: b.StopTime, GangTimeout: b.GangTimeout, Heartbeat: b.Heartbeat}
