Emulator: rigs side by side draw from ranges of their own

Cause: the range of a process's ports came from its ID modulo 15, so that two rigs could draw the same ports; an instance whose port was taken meanwhile found its address in use.

Change: a rig listens at the port before its range as long as it runs, and takes the next range where that port is taken.

Result: TestPortsOfTwoRigsAreApart; without the claim the second rig draws the ports of the first. TestTakenPortIsPassedOver takes a port of the same range itself, since a second value has another range now.

--- a/standin/crankfakemachine/machine_test.go
+++ b/standin/crankfakemachine/machine_test.go
@@ -17,6 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer ports.Close()
 	var fault crankfakefleet.Fault
 	var failing float64
 	fleet := crankfakefleet.New(crankfakefleet.Config{})
--- a/standin/crankfakenet/listener_test.go
+++ b/standin/crankfakenet/listener_test.go
@@ -1,6 +1,7 @@
 package crankfakenet
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -13,6 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer ports.Close()
 	l, err := ports.Listen(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "here") }))
 	if err != nil {
 		t.Fatal(err)
@@ -76,6 +78,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer ports.Close()
 	seen := make(map[string]bool)
 	for range 20 {
 		addr, err := ports.Draw()
@@ -90,11 +93,12 @@
 }
 
 func TestTakenPortIsPassedOver(t *testing.T) {
-	first, err := NewPorts(9)
+	ports, err := NewPorts(9)
 	if err != nil {
 		t.Fatal(err)
 	}
-	l, err := first.Listen(http.NotFoundHandler())
+	defer ports.Close()
+	l, err := ports.Listen(http.NotFoundHandler())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -102,12 +106,34 @@
 	if _, err := net.Listen("tcp", l.Addr()); !IsTaken(err) {
 		t.Errorf("second listener: error %v; want one that says that the address is in use", err)
 	}
-	second, err := NewPorts(9)
+	taken, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", ports.first+1))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if other, err := second.Draw(); err != nil || other == l.Addr() {
-		t.Errorf("drew %s, error %v; want another address than the taken one", other, err)
+	defer taken.Close()
+	if other, err := ports.Draw(); err != nil || other == l.Addr() || other == taken.Addr().String() {
+		t.Errorf("drew %s, error %v; want another address than the taken ones", other, err)
+	}
+}
+
+func TestPortsOfTwoRigsAreApart(t *testing.T) {
+	drawn := make(map[string]int)
+	for rig := range 2 {
+		ports, err := NewPorts(9)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer ports.Close()
+		for range portsAProcess {
+			addr, err := ports.Draw()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if by, ok := drawn[addr]; ok && by != rig {
+				t.Fatalf("%s was drawn by both", addr)
+			}
+			drawn[addr] = rig
+		}
 	}
 }
 
@@ -116,6 +142,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer ports.Close()
 	for range portsAProcess + 10 {
 		if _, err := ports.Draw(); err != nil {
 			t.Fatal(err)
--- a/standin/crankfakenet/port.go
+++ b/standin/crankfakenet/port.go
@@ -18,6 +18,7 @@
 const (
 	firstPort     = 10000
 	portsAProcess = 1500
+	blockSize     = 1 + portsAProcess // with the port that claims it
 	portRangeFile = "/proc/sys/net/ipv4/ip_local_port_range"
 )
 
@@ -27,13 +28,14 @@
 	mu    sync.Mutex
 	first int
 	drawn int
+	claim net.Listener // holds the block, at the port before first
 }
 
 // OwnPorts returns the ports of this process.
 var OwnPorts = sync.OnceValues(func() (*Ports, error) { return NewPorts(os.Getpid()) })
 
-// NewPorts returns the ports of a process, which is to draw all of them from one
-// value.
+// NewPorts returns ports that no other value has, in this process or another. The ID of
+// the process selects where the search for them begins.
 func NewPorts(pid int) (*Ports, error) {
 	const op = "port range"
 	data, err := os.ReadFile(portRangeFile)
@@ -44,14 +46,23 @@
 	if _, err := fmt.Sscan(string(data), &low, &high); err != nil {
 		return nil, crank.Wrap(op, crank.KindInvalid, err)
 	}
-	blocks := (low - firstPort) / portsAProcess
-	if blocks < 1 {
-		return nil, crank.Fail(op, crank.KindUnavailable, "no room between %d and %d", firstPort, low)
+	blocks := (low - firstPort) / blockSize
+	for n := range blocks {
+		port := firstPort + (pid+n)%blocks*blockSize
+		claim, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", port))
+		if err == nil {
+			return &Ports{first: port + 1, claim: claim}, nil
+		}
+		if !IsTaken(err) {
+			return nil, crank.Wrap(op, crank.KindUnavailable, err)
+		}
 	}
-	first := firstPort + pid%blocks*portsAProcess
-	return &Ports{first: first}, nil
+	return nil, crank.Fail(op, crank.KindUnavailable, "all %d blocks of ports between %d and %d are taken", blocks, firstPort, low)
 }
 
+// Close lets others have the ports.
+func (p *Ports) Close() { p.claim.Close() }
+
 // Draw returns an address that nothing listens at. It is drawn again only after all
 // others.
 func (p *Ports) Draw() (string, error) {
