Emulator: a gang member that waits for the others in vain is a violation

Cause: the checks took no notice of runs that end because their gang did not arrive in time.

Change: such an end of a job that is to run on, in the calm, is reported with the worker and the term of the start.

Result: TestGangThatWaitedInVainIsAViolation.

--- a/standin/crankfakewatch/watch.go
+++ b/standin/crankfakewatch/watch.go
@@ -43,7 +43,8 @@
 	done        map[crank.TaskID]bool // as its worker saw
 	noted       map[crank.TaskID]bool // acknowledged to its worker
 	failures    map[crank.TaskID]int
-	completedAt time.Time // its last task ended
+	startFence  map[crank.TaskID]int64 // of the newest run
+	completedAt time.Time              // its last task ended
 	still       map[stillKey]*Still
 }
 
@@ -97,7 +98,7 @@
 	defer w.mu.Unlock()
 	w.jobs[j.ID] = &job{
 		Job: j, submittedAt: time.Now(), running: make(map[crank.TaskID]int), lastRun: make(map[crank.TaskID]time.Time),
-		done: make(map[crank.TaskID]bool), noted: make(map[crank.TaskID]bool), failures: make(map[crank.TaskID]int), still: make(map[stillKey]*Still),
+		done: make(map[crank.TaskID]bool), noted: make(map[crank.TaskID]bool), failures: make(map[crank.TaskID]int), startFence: make(map[crank.TaskID]int64), still: make(map[stillKey]*Still),
 	}
 }
 
@@ -177,6 +178,9 @@
 				j.completedAt = e.At
 			}
 		}
+		if e.How == crank.EndGangTimeout && j.owed() && w.Calm() {
+			w.violate("task %s waited for its gang in vain on %s, started in term %d", e.Task, e.Worker, j.startFence[e.Task])
+		}
 		if e.How == crank.EndFailed {
 			j.failures[j.attemptKey(e.Task)]++
 		}
@@ -193,6 +197,7 @@
 	}
 	j.runs++
 	j.running[e.Task]++
+	j.startFence[e.Task] = e.Fence
 	if j.answer == Refused {
 		w.violate("refused job %s has run: task %s on %s", j.ID, e.Task, e.Worker)
 	}
