Emulator: sites with the operators' mix of jobs

Cause: large-hall and small-hall have plain jobs only.

Progress shows the use of cores, memory and accelerators apart. The logs of a soak are named after its test.

--- a/proofs/cranksoak/soak_test.go
+++ b/proofs/cranksoak/soak_test.go
@@ -39,6 +39,15 @@
 	}
 }
 
+// TestSoakOfMixedJobs plays the seed of a site with all kinds of jobs and of unfit workers.
+func TestSoakOfMixedJobs(t *testing.T) {
+	site, err := crankfakesite.Read("../../examples/sites/mixed-hall.ini")
+	if err != nil {
+		t.Fatal(err)
+	}
+	soak(t, build(t), site, *firstSeed, nil)
+}
+
 func build(t *testing.T, flags ...string) string {
 	binary := filepath.Join(t.TempDir(), "cranberrycrank")
 	out, err := exec.Command("go", append(append([]string{"build"}, flags...), "-o", binary, "cranberrycrank/cmd/cranberrycrank")...).CombinedOutput()
@@ -53,7 +62,7 @@
 func soak(t *testing.T, binary string, site crankfakesite.Site, seed uint64, plan crankfakeplan.Plan) {
 	dir := t.TempDir()
 	if *logDir != "" {
-		dir = filepath.Join(*logDir, fmt.Sprint(seed))
+		dir = filepath.Join(*logDir, filepath.Base(t.Name()))
 		if err := os.MkdirAll(dir, 0o755); err != nil {
 			t.Fatal(err)
 		}
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -239,7 +239,7 @@
 		p := r.watch.Tick(last)
 		if time.Since(shown) >= progressPeriod {
 			shown = time.Now()
-			r.Logger.Info("rig: progress", "at", r.age(), "open", p.Open, "still", p.Still, "in-use", fmt.Sprintf("%.2f", p.InUse), "runs", r.fleet.Runs(), "leader", r.leader())
+			r.Logger.Info("rig: progress", "at", r.age(), "open", p.Open, "still", p.Still, "in-use", fmt.Sprintf("%.2f", p.InUse), "shares", fmt.Sprintf("%.2f", p.Shares), "runs", r.fleet.Runs(), "leader", r.leader())
 		}
 	}
 }
--- a/standin/crankfakesite/job.go
+++ b/standin/crankfakesite/job.go
@@ -86,6 +86,7 @@
 		Tasks: drawCount(rng, c.ServiceTasks, 0.5, c.MaxTasks), RunTime: c.Run, Demand: j.Steps[0].Demand,
 		LongRunning: true, Latency: c.Latency, MaxUnavailable: 1,
 	}
+	serving.Demand.Accelerators = min(1, serving.Demand.Accelerators)
 	filling := crank.Step{Tasks: drawCount(rng, c.ServiceTasks, 0.5, c.MaxTasks), RunTime: c.Run, Demand: serving.Demand, LongRunning: true, BestEffort: true}
 	filling.Demand.Accelerators = 0
 	j.Steps, j.Work = []crank.Step{serving, filling}, []time.Duration{c.Run, c.Run}
--- a/standin/crankfakewatch/still.go
+++ b/standin/crankfakewatch/still.go
@@ -14,7 +14,8 @@
 // room is the free capacity of the pool at one moment.
 type room struct {
 	workers  []crankfakefleet.WorkerState
-	inUse    float64 // share of the resource that is used most
+	shares   [3]float64 // in use, of cores, memory and accelerators
+	inUse    float64    // the largest of them
 	halfFree bool
 	fits     map[place]int
 }
@@ -32,11 +33,12 @@
 	for _, s := range workers {
 		free, all = free.Plus(s.Free), all.Plus(s.Entry.Capacity)
 	}
-	for _, p := range [][2]int{{free.MilliCores, all.MilliCores}, {free.MemoryMiB, all.MemoryMiB}, {free.Accelerators, all.Accelerators}} {
+	for i, p := range [][2]int{{free.MilliCores, all.MilliCores}, {free.MemoryMiB, all.MemoryMiB}, {free.Accelerators, all.Accelerators}} {
 		if p[1] > 0 {
-			r.inUse = max(r.inUse, 1-float64(p[0])/float64(p[1]))
+			r.shares[i] = 1 - float64(p[0])/float64(p[1])
 		}
 	}
+	r.inUse = slices.Max(r.shares[:])
 	r.halfFree = r.inUse < 0.5
 	return r
 }
@@ -82,14 +84,15 @@
 
 // Progress is the state of the jobs at one moment.
 type Progress struct {
-	Open, Still int     // jobs
-	InUse       float64 // share of the pool
+	Open, Still int        // jobs
+	InUse       float64    // share of the pool
+	Shares      [3]float64 // of its cores, memory and accelerators
 }
 
 // Tick looks for jobs that stand still. It is to be called several times a second.
 func (w *Watch) Tick(now time.Time) Progress {
 	r := newRoom(w.Workers())
-	p := Progress{InUse: r.inUse}
+	p := Progress{InUse: r.inUse, Shares: r.shares}
 	calm := w.Calm()
 	w.mu.Lock()
 	defer w.mu.Unlock()
