Emulator: jobs that stand in a fuller pool are shown

Change: a stand of 3 s with room twice over is shown as crowded, whatever is in use, with the reason from the logs. It breaks no rule.

Result: TestJobWithRoomInAFullPoolIsShown.

--- a/standin/crankfakereport/report.go
+++ b/standin/crankfakereport/report.go
@@ -25,6 +25,7 @@
 	Counts     map[string]int
 	Lost       []crankfakewatch.Still // that stood still too long
 	Early      []crankfakewatch.Still // that stood still as long, but in disturbances before Asked
+	Crowded    []crankfakewatch.Still // that stood still as long with room twice over in a fuller pool, which breaks no rule
 	Stills     []crankfakewatch.Still
 	Violations []string
 	RigFaults  []string
@@ -45,7 +46,10 @@
 		Waits: w.StartWaits(), Reasons: make(map[string][]string), Lost: crankfakewatch.Lost(stills, asked, bound),
 	}
 	for _, s := range stills {
-		if s.To.After(asked) && s.To.Sub(s.From) >= bound && !slices.Contains(r.Lost, s) {
+		switch {
+		case s.View == crankfakewatch.ViewRoom && s.To.Sub(s.From) >= bound:
+			r.Crowded = append(r.Crowded, s)
+		case s.To.After(asked) && s.To.Sub(s.From) >= bound && !slices.Contains(r.Lost, s):
 			r.Early = append(r.Early, s)
 		}
 	}
@@ -60,7 +64,7 @@
 	if err != nil {
 		return err
 	}
-	for _, s := range slices.Concat(r.Early, r.Lost) {
+	for _, s := range slices.Concat(r.Crowded, r.Early, r.Lost) {
 		r.Reasons[s.Job] = reasons(lines, s)
 	}
 	f, err := os.Create(filepath.Join(dir, "report.txt"))
@@ -87,6 +91,7 @@
 	fmt.Fprintf(out, "jobs: %v, unfinished at the end: %d\n", r.Counts, len(r.Unfinished))
 	r.printStills(out, "LOST", r.Lost)
 	r.printStills(out, "early", r.Early)
+	r.printStills(out, "crowded", r.Crowded[:min(len(r.Crowded), maxCrowded)])
 	for _, v := range r.Violations {
 		fmt.Fprintln(out, "broken:", v)
 	}
@@ -163,6 +168,9 @@
 	fmt.Fprintln(out)
 }
 
+// maxCrowded is the number of the latest standstills in a fuller pool that are printed.
+const maxCrowded = 20
+
 // maxTraces is the number of jobs whose lines are collected.
 const maxTraces = 12
 
--- a/standin/crankfakewatch/still.go
+++ b/standin/crankfakewatch/still.go
@@ -100,8 +100,9 @@
 		if j.owed() {
 			p.Open++
 		}
-		for _, v := range []View{ViewWorker, ViewNoted} {
+		for _, v := range []View{ViewWorker, ViewNoted, ViewRoom} {
 			t, stands := j.standing(r, now, v)
+			stands = stands && (r.halfFree || v == ViewRoom)
 			w.note(j, stillKey{View: v}, t, stands, now, calm)
 			if stands && v == ViewWorker {
 				p.Still++
@@ -131,7 +132,7 @@
 
 // standing returns a task that could run, if nothing of the job is running.
 func (j *job) standing(r *room, now time.Time, v View) (crank.TaskID, bool) {
-	if !j.owed() || j.Lasting || !r.halfFree {
+	if !j.owed() || j.Lasting {
 		return crank.TaskID{}, false
 	}
 	for _, n := range j.running {
@@ -227,6 +228,9 @@
 		if from.Before(asked) {
 			from = asked
 		}
+		if s.View == ViewRoom {
+			continue
+		}
 		after := s.To.Sub(from) >= bound && s.View != ViewFull
 		inCalm := s.Calm >= bound && (s.View == ViewFull || !s.To.Before(asked))
 		if after || inCalm {
--- a/standin/crankfakewatch/still_test.go
+++ b/standin/crankfakewatch/still_test.go
@@ -70,6 +70,17 @@
 	}
 }
 
+func TestJobWithRoomInAFullPoolIsShown(t *testing.T) {
+	w := newWatch(4)
+	if n := w.lost(0, 9); len(n) != 0 {
+		t.Errorf("lost by view: %v; want none", n)
+	}
+	stills := w.Stills()
+	if len(stills) != 1 || stills[0].View != ViewRoom {
+		t.Errorf("stills %v; want one by the view for room", stills)
+	}
+}
+
 func TestJobWithoutRoomIsNotLost(t *testing.T) {
 	if n := newWatch(4).lost(0, 9); len(n) != 0 {
 		t.Errorf("lost by view: %v; want none, over half of the pool is in use", n)
--- a/standin/crankfakewatch/watch.go
+++ b/standin/crankfakewatch/watch.go
@@ -72,6 +72,8 @@
 	ViewNoted  View = "noted"  // ends that were acknowledged to workers
 	// ViewFull is ViewWorker for a task that lasts, however full the pool is.
 	ViewFull View = "full"
+	// ViewRoom is ViewWorker however full the pool is. It breaks no rule.
+	ViewRoom View = "room"
 )
 
 // Still is a time in which a job had nothing running, though a task could run.
