--- a/standin/crankfakewatch/still.go
+++ b/standin/crankfakewatch/still.go
@@ -14,33 +14,42 @@
 // room is the free capacity of the pool at one moment.
 type room struct {
 	workers  []crankfakefleet.WorkerState
-	inUse    float64 // share of the resource that is used most
+	shares   [3]float64 // in use, of cores, memory and accelerators
+	inUse    float64    // the largest of them
 	halfFree bool
-	fits     map[crank.Demand]int
+	fits     map[place]int
+}
+
+// place is what a worker must have for a task.
+type place struct {
+	demand crank.Demand
+	label  string
+	most   int // tasks per worker, 0 for no limit
 }
 
 func newRoom(workers []crankfakefleet.WorkerState) *room {
-	r := &room{workers: workers, fits: make(map[crank.Demand]int)}
+	r := &room{workers: workers, fits: make(map[place]int)}
 	var free, all crank.Demand
 	for _, s := range workers {
 		free, all = free.Plus(s.Free), all.Plus(s.Entry.Capacity)
 	}
-	for _, p := range [][2]int{{free.MilliCores, all.MilliCores}, {free.MemoryMiB, all.MemoryMiB}, {free.Accelerators, all.Accelerators}} {
+	for i, p := range [][2]int{{free.MilliCores, all.MilliCores}, {free.MemoryMiB, all.MemoryMiB}, {free.Accelerators, all.Accelerators}} {
 		if p[1] > 0 {
-			r.inUse = max(r.inUse, 1-float64(p[0])/float64(p[1]))
+			r.shares[i] = 1 - float64(p[0])/float64(p[1])
 		}
 	}
+	r.inUse = slices.Max(r.shares[:])
 	r.halfFree = r.inUse < 0.5
 	return r
 }
 
 // hasTwice reports whether there is capacity for the task, or its whole gang, twice.
 func (r *room) hasTwice(s crank.Step) bool {
-	need := s.ReservedCapacity()
+	need := place{s.ReservedCapacity(), s.Label, s.MaxPerWorker}
 	n, ok := r.fits[need]
 	if !ok {
 		for _, w := range r.workers {
-			n += count(w.Free, need)
+			n += need.count(w)
 		}
 		r.fits[need] = n
 	}
@@ -50,6 +59,18 @@
 	return n >= 2
 }
 
+// count returns how many tasks fit on a worker without others of their step.
+func (p place) count(w crankfakefleet.WorkerState) int {
+	if p.label != "" && !slices.Contains(w.Entry.Labels, p.label) {
+		return 0
+	}
+	n := count(w.Free, p.demand)
+	if p.most > 0 {
+		n = min(n, p.most)
+	}
+	return n
+}
+
 // count returns how often a demand fits.
 func count(free, need crank.Demand) int {
 	n := 1 << 20
@@ -63,49 +84,55 @@
 
 // Progress is the state of the jobs at one moment.
 type Progress struct {
-	Open, Still int     // jobs
-	InUse       float64 // share of the pool
+	Open, Still int        // jobs
+	InUse       float64    // share of the pool
+	Shares      [3]float64 // of its cores, memory and accelerators
 }
 
 // Tick looks for jobs that stand still. It is to be called several times a second.
 func (w *Watch) Tick(now time.Time) Progress {
 	r := newRoom(w.Workers())
-	p := Progress{InUse: r.inUse}
+	p := Progress{InUse: r.inUse, Shares: r.shares}
+	calm := w.Calm()
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for _, j := range w.jobs {
 		if j.owed() {
 			p.Open++
 		}
-		for _, v := range []View{ViewWorker, ViewNoted} {
+		for _, v := range []View{ViewWorker, ViewNoted, ViewRoom} {
 			t, stands := j.standing(r, now, v)
-			w.note(j, stillKey{View: v}, t, stands, now)
+			stands = stands && (r.halfFree || v == ViewRoom)
+			w.note(j, stillKey{View: v}, t, stands, now, calm)
 			if stands && v == ViewWorker {
 				p.Still++
 			}
 		}
 		if j.Lasting {
-			w.tickLasting(j, r, now)
+			w.tickLasting(j, r, now, calm)
 		}
 	}
 	return p
 }
 
-func (w *Watch) tickLasting(j *job, r *room, now time.Time) {
-	for i := range j.Steps[0].Tasks {
-		t := crank.TaskID{Job: j.ID, Index: i}
-		since := j.lastRun[t]
-		if since.IsZero() {
-			since = j.acceptedAt
+func (w *Watch) tickLasting(j *job, r *room, now time.Time, calm bool) {
+	for n, s := range j.Steps {
+		for i := range s.Tasks {
+			t := crank.TaskID{Job: j.ID, Step: n, Index: i}
+			since := j.lastRun[t]
+			if since.IsZero() {
+				since = j.acceptedAt
+			}
+			stands := j.owed() && j.running[t] == 0 && now.Sub(since) > lastingGrace && r.hasTwice(s)
+			w.note(j, stillKey{View: ViewWorker, Task: t}, t, stands && r.halfFree, now, calm)
+			w.note(j, stillKey{View: ViewFull, Task: t}, t, stands, now, calm)
 		}
-		stands := j.owed() && j.running[t] == 0 && now.Sub(since) > lastingGrace && r.halfFree && r.hasTwice(j.Steps[0])
-		w.note(j, stillKey{View: ViewWorker, Task: t}, t, stands, now)
 	}
 }
 
 // standing returns a task that could run, if nothing of the job is running.
 func (j *job) standing(r *room, now time.Time, v View) (crank.TaskID, bool) {
-	if !j.owed() || j.Lasting || !r.halfFree {
+	if !j.owed() || j.Lasting {
 		return crank.TaskID{}, false
 	}
 	for _, n := range j.running {
@@ -148,20 +175,36 @@
 	return crank.TaskID{}, false
 }
 
-func (w *Watch) note(j *job, k stillKey, t crank.TaskID, stands bool, now time.Time) {
+func (w *Watch) note(j *job, k stillKey, t crank.TaskID, stands bool, now time.Time, calm bool) {
 	s := j.still[k]
-	switch {
-	case stands && s == nil:
-		j.still[k] = &Still{Job: j.ID, Class: j.Class, Task: t, View: k.View, From: now, To: now, Runs: j.runs, Open: true}
-	case stands:
-		s.To = now
-	case s != nil:
-		s.To, s.Open = now, false
+	if s == nil && !stands {
+		return
+	}
+	if s == nil {
+		s = &Still{Job: j.ID, Class: j.Class, Task: t, View: k.View, From: now, Runs: j.runs, Open: true}
+		j.still[k] = s
+	}
+	s.extend(now, calm)
+	if !stands {
+		s.Open = false
 		w.stills = append(w.stills, *s)
 		delete(j.still, k)
 	}
 }
 
+func (s *Still) extend(now time.Time, calm bool) {
+	s.To = now
+	switch {
+	case !calm:
+		s.calmFrom = time.Time{}
+	case s.calmFrom.IsZero():
+		s.calmFrom = now
+	}
+	if calm {
+		s.Calm = max(s.Calm, now.Sub(s.calmFrom))
+	}
+}
+
 // Stills returns the times in which jobs stood still, the latest first.
 func (w *Watch) Stills() []Still {
 	w.mu.Lock()
@@ -176,8 +219,8 @@
 	return all
 }
 
-// Lost returns the stills that break the bound: StillTime at one time after the
-// jobs are asked for.
+// Lost returns the stills that break the bound: after the jobs are asked for, or in the
+// calm, if they last until then or concern a task that lasts.
 func Lost(all []Still, asked time.Time, bound time.Duration) []Still {
 	var lost []Still
 	for _, s := range all {
@@ -185,7 +228,12 @@
 		if from.Before(asked) {
 			from = asked
 		}
-		if s.To.Sub(from) >= bound {
+		if s.View == ViewRoom {
+			continue
+		}
+		after := s.To.Sub(from) >= bound && s.View != ViewFull
+		inCalm := s.Calm >= bound && (s.View == ViewFull || !s.To.Before(asked))
+		if after || inCalm {
 			lost = append(lost, s)
 		}
 	}
