pack: a reservation stays where its demand becomes free first

Cause: how long a worker was reserved for in vain counted as the longest run on all of it, also for a part of it. Tasks that began on the rest put it off, so that the next round reserved elsewhere and gave back what had come free.

Change: it counts until enough of the worker is free, by the expected ends of its runs.

--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -22,14 +22,21 @@
 	Free           crank.Demand   // not held by any run
 	Future         crank.Demand   // Free plus what runs that are being stopped hold
 	Eventual       crank.Demand   // Total less what long-running tasks hold
-	EventualIn     time.Duration  // until the other runs are expected to have ended
+	Ends           []ExpectedEnd  // of the runs between Future and Eventual, the first first
 	Schedulable    bool           // new tasks may be started
 	HasLatencyTask bool           // runs a task with a latency target
 	HasBestEffort  bool           // runs a best-effort task
 	TasksByStep    map[string]int // by Request.StepKey
 	FailureCount   int            // recent failures; workers with fewer are preferred
 
-	rackCores float64 // available on the worker's rack, while a request is placed on any rack
+	taskIn    time.Duration // freeIn of one task, while a request for EventualCapacity is placed
+	rackCores float64       // available on the worker's rack, while a request is placed on any rack
+}
+
+// ExpectedEnd is when a run is expected to free its capacity.
+type ExpectedEnd struct {
+	In     time.Duration
+	Demand crank.Demand
 }
 
 // Request asks for workers for a number of tasks of one step.
@@ -163,8 +170,9 @@
 	w.Free, w.Future = w.Free.Minus(need), w.Future.Minus(need)
 	if q.Step.LongRunning {
 		w.Eventual = w.Eventual.Minus(need)
+	} else {
+		w.AddEnd(ExpectedEnd{q.Step.RunTime, need})
 	}
-	w.EventualIn = max(w.EventualIn, q.Step.RunTime)
 	if w.TasksByStep == nil {
 		w.TasksByStep = make(map[string]int)
 	}
@@ -173,6 +181,24 @@
 	w.HasBestEffort = w.HasBestEffort || q.Step.BestEffort
 }
 
+// AddEnd adds the expected end of a run.
+func (w *WorkerCapacity) AddEnd(e ExpectedEnd) {
+	i, _ := slices.BinarySearchFunc(w.Ends, e, func(a, b ExpectedEnd) int { return cmp.Compare(a.In, b.In) })
+	w.Ends = slices.Insert(w.Ends, i, e)
+}
+
+// freeIn returns how long it is expected to take until a demand of Eventual is free.
+func (w *WorkerCapacity) freeIn(need crank.Demand) time.Duration {
+	have, in := w.Future, time.Duration(0)
+	for _, e := range w.Ends {
+		if have.Covers(need) {
+			break
+		}
+		have, in = have.Plus(e.Demand), e.In
+	}
+	return in
+}
+
 // Reserve is like Allocate for a task that waits for running tasks to end.
 func (w *WorkerCapacity) Reserve(q Request) {
 	need := q.Step.ReservedCapacity()
@@ -192,8 +218,8 @@
 		if a.FailureCount != b.FailureCount {
 			return a.FailureCount - b.FailureCount
 		}
-		if k == EventualCapacity && a.EventualIn != b.EventualIn {
-			return cmp.Compare(a.EventualIn, b.EventualIn)
+		if k == EventualCapacity && a.taskIn != b.taskIn {
+			return cmp.Compare(a.taskIn, b.taskIn)
 		}
 		x, y := a.available(k), b.available(k)
 		if x.Accelerators != y.Accelerators {
@@ -239,7 +265,7 @@
 		}
 		cost := rackCost{remaining: remainingCores(rack, k)}
 		if k == EventualCapacity {
-			cost.wait = longestWait(workers)
+			cost.wait = LongestWait(workers, q)
 		}
 		if best == nil || cost.less(least) {
 			best, least = workers, cost
@@ -271,10 +297,14 @@
 	return c.wait < o.wait || (c.wait == o.wait && c.remaining < o.remaining)
 }
 
-func longestWait(workers []*WorkerCapacity) time.Duration {
+// LongestWait returns how long it is expected to take until the workers that Place returned
+// for EventualCapacity are free for the request.
+func LongestWait(workers []*WorkerCapacity, q Request) time.Duration {
+	count := make(map[*WorkerCapacity]int)
 	longest := time.Duration(0)
 	for _, w := range workers {
-		longest = max(longest, w.EventualIn)
+		count[w]++
+		longest = max(longest, w.freeIn(q.Step.ReservedCapacity().Times(count[w])))
 	}
 	return longest
 }
@@ -308,6 +338,11 @@
 // placeBestFit returns a worker for each task, or nil when not all fit.
 func placeBestFit(workers []*WorkerCapacity, q Request, k CapacityKind) []*WorkerCapacity {
 	sorted := slices.Clone(workers)
+	if k == EventualCapacity {
+		for _, w := range sorted {
+			w.taskIn = w.freeIn(q.Step.ReservedCapacity())
+		}
+	}
 	slices.SortStableFunc(sorted, byBestFit(k))
 	var placed []*WorkerCapacity
 	for _, w := range sorted {
--- a/internal/cranksched/reservation.go
+++ b/internal/cranksched/reservation.go
@@ -41,10 +41,9 @@
 	if chosen == nil && q.Step.SameRack {
 		chosen = pool.Place(q.AcrossRacks(), crankpack.EventualCapacity)
 	}
-	r := reservation{request: q, workers: chosen}
+	r := reservation{request: q, workers: chosen, wait: crankpack.LongestWait(chosen, q)}
 	for _, c := range chosen {
 		c.Reserve(q)
-		r.wait = max(r.wait, c.EventualIn)
 	}
 	return r, chosen != nil
 }
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -103,14 +103,17 @@
 		c.Free = c.Free.Minus(p.demand)
 		if p.state != stateStopping {
 			c.Future = c.Future.Minus(p.demand)
-			c.EventualIn = max(c.EventualIn, p.timeLeft())
+		}
+		switch {
+		case p.state == stateStopping:
+		case p.step != nil && p.step.LongRunning:
+			c.Eventual = c.Eventual.Minus(p.demand)
+		default:
+			c.AddEnd(crankpack.ExpectedEnd{In: p.timeLeft(), Demand: p.demand})
 		}
 		if p.step == nil {
 			continue
 		}
-		if p.step.LongRunning && p.state != stateStopping {
-			c.Eventual = c.Eventual.Minus(p.demand)
-		}
 		c.TasksByStep[p.stepKey]++
 		c.HasLatencyTask = c.HasLatencyTask || p.step.Latency > 0
 		c.HasBestEffort = c.HasBestEffort || p.step.BestEffort
