sched: only tasks shorter than a gang's wait use what it reserved

Cause: a task as long as the expected wait could start on reserved capacity of an idle pool. The wait is then just that again until the first report of progress, so that tasks of one length followed each other.

Found by TestStepUnderLoadIsNotOvertakenForLong (drawn); TestGangOfAllWorkersIsNotOvertakenByTasksAsLongAsItsWait plays five.

--- a/internal/cranksched/reservation.go
+++ b/internal/cranksched/reservation.go
@@ -71,7 +71,7 @@
 			continue
 		}
 		waited := now.Sub(u.waitingSince)
-		ends := !u.step.LongRunning && u.step.RunTime > 0 && u.step.RunTime <= wait
+		ends := !u.step.LongRunning && u.step.RunTime > 0 && u.step.RunTime < wait
 		overdue := u.step.LongRunning && waited > longRunningOverdueTime
 		stands := u.job.placed == 0 && min(waited, now.Sub(newest[pool])) > reservedStandTime
 		switch {
--- a/proofs/crankentryproof/overtaking_test.go
+++ b/proofs/crankentryproof/overtaking_test.go
@@ -89,6 +89,18 @@
 	}
 }
 
+// Tasks that run for just as long as the gang was expected to wait took what was reserved,
+// which put it off again.
+func TestGangOfAllWorkersIsNotOvertakenByTasksAsLongAsItsWait(t *testing.T) {
+	st := gangStep(loadRacks*rackSize, 8, time.Second)
+	st.SameRack = false
+	for range 5 {
+		if p := (loadPlay{3 * time.Second, st}); !p.play(t) {
+			t.Errorf("not begun within %s", p.bound())
+		}
+	}
+}
+
 // Smaller tasks took what became free, as long as they kept coming.
 func TestStepUnderLoadIsNotOvertakenForLong(t *testing.T) {
 	t.Parallel()
