--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -20,6 +20,7 @@
 	DropResponse bool          // the call takes effect, its response is lost
 	EffectDelay  time.Duration // the call takes effect this long after it was received, its response is lost
 	Refuse       bool          // the worker is unhealthy: the call has no effect
+	RefuseStart  bool          // the same for starts only
 }
 
 // Config defines the jobs, run times and faults of a Fleet.
@@ -32,7 +33,10 @@
 	Stuck   func(worker string) bool                             // may be nil; runs there make no progress
 	Odd     func(worker string) bool                             // may be nil; its reports have rows that can't be read
 	MaxEnds int                                                  // ended runs listed in one report, 0 for all
-	Observe func(e Event)                                        // called under the lock, may be nil
+	// CrossRackSlowdown multiplies the time of a gang with SameRack on several racks, and
+	// of a task off its DataRack. 0 is the same as 1.
+	CrossRackSlowdown float64
+	Observe           func(e Event) // called under the lock, may be nil
 }
 
 // Fleet holds all workers and the history for the invariants. It is safe for
@@ -314,7 +318,7 @@
 	switch {
 	case fault.DropRequest:
 		return awaitCancel()
-	case fault.Refuse:
+	case fault.Refuse, fault.RefuseStart && method == "start":
 		return crank.Fail(op, crank.KindUnavailable, "the worker is unhealthy")
 	}
 	c.fleet.mu.Lock()
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -66,7 +66,7 @@
 	f.running[r.id][r] = true
 	w.observe(Event{Kind: EventStarted, Task: r.id, Run: r.number, Fence: o.Fence})
 	if !step.Gang {
-		f.startWork(r)
+		f.startWork(r, f.workTime(r))
 		return
 	}
 	r.timer = time.AfterFunc(f.Bounds.GangTimeout, func() {
@@ -105,6 +105,9 @@
 			}
 		}
 	}
+	if !r.worker.isAllowed(r) {
+		f.recordViolation("task %s was started on worker %s against its label or its limit of tasks per worker", id, r.worker.entry.ID)
+	}
 	free := r.worker.entry.Capacity.Minus(r.step.ReservedCapacity())
 	for _, other := range r.worker.runs {
 		free = free.Minus(other.step.ReservedCapacity())
@@ -129,16 +132,16 @@
 	if len(members) < r.step.Tasks {
 		return
 	}
+	duration := f.gangTime(members)
 	for _, m := range members {
 		m.timer.Stop()
-		f.startWork(m)
+		f.startWork(m, duration)
 	}
 }
 
 // startWork starts the timer that ends a run.
-func (f *Fleet) startWork(r *run) {
-	r.working, r.startedAt = true, time.Now()
-	r.duration = f.RunTime(r.id, r.worker.entry.ID)
+func (f *Fleet) startWork(r *run, duration time.Duration) {
+	r.working, r.startedAt, r.duration = true, time.Now(), duration
 	if f.Stuck != nil && f.Stuck(r.worker.entry.ID) {
 		return
 	}
@@ -278,7 +281,9 @@
 	r.Ended = append(r.Ended, ended...)
 	for _, run := range w.runs {
 		a := crank.ActiveRun{Task: run.id, Run: run.number, Checkpoint: run.checkpoint}
-		if run.working && (w.fleet.Stuck == nil || !w.fleet.Stuck(w.entry.ID)) {
+		if run.working && run.step.LongRunning {
+			a.Percent = 100
+		} else if run.working && (w.fleet.Stuck == nil || !w.fleet.Stuck(w.entry.ID)) {
 			a.Percent = min(100, 100*float64(time.Since(run.startedAt))/float64(run.duration))
 		}
 		r.Active = append(r.Active, a)
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -58,6 +58,7 @@
 
 	mu          sync.Mutex
 	faults      map[string]crankfakefleet.Fault // by worker ID
+	failing     map[string]float64              // share of the runs by worker ID
 	disturbed   int                             // disturbances that have not ended
 	disturbedAt time.Time                       // the end of the last one
 	storeDown   bool
@@ -79,8 +80,8 @@
 		return nil, err
 	}
 	r := &Rig{
-		Config: c, store: crankfakestore.New(), ports: ports, faults: make(map[string]crankfakefleet.Fault),
-		client: &http.Client{Timeout: c.Site.Bounds.AnswerTime + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxIdleConns: 4096}},
+		Config: c, store: crankfakestore.New(), ports: ports, faults: make(map[string]crankfakefleet.Fault), failing: make(map[string]float64),
+		client: &http.Client{Timeout: max(c.Site.Bounds.AnswerTime, c.Site.Callers.PatientTime) + time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 16, MaxIdleConns: 4096}},
 	}
 	r.watch = crankfakewatch.New(crankfakewatch.Config{Bounds: c.Site.Bounds, Workers: r.schedulable, Calm: r.calm})
 	classes := make(map[string]crankfakesite.Class)
@@ -89,16 +90,17 @@
 	}
 	r.fleet = crankfakefleet.New(crankfakefleet.Config{
 		Bounds: c.Site.Bounds.Lease(), Specs: r.watch.Spec, Faults: r.fault, Observe: r.observe, MaxEnds: 500,
-		RunTime: func(t crank.TaskID, _ string) time.Duration {
-			j, _ := r.watch.Spec(t.Job)
+		CrossRackSlowdown: c.Site.Bounds.CrossRackSlowdown,
+		RunTime: func(t crank.TaskID, worker string) time.Duration {
+			j, _ := r.watch.Job(t.Job)
 			if j.Steps[t.Step].LongRunning {
 				return time.Hour
 			}
-			return j.Steps[t.Step].RunTime
+			return time.Duration(float64(j.WorkTime(t)) / c.Site.Speed(c.Seed, machineOf(worker)))
 		},
-		Fails: func(t crank.TaskID, run int64, _ string) bool {
-			j, _ := r.watch.Spec(t.Job)
-			return hash(t, run, c.Seed) < classes[j.Queue].Failing
+		Fails: func(t crank.TaskID, run int64, worker string) bool {
+			j, _ := r.watch.Job(t.Job)
+			return j.Poisoned || hash(t, run, c.Seed) < max(classes[j.Queue].Failing, r.failingShare(worker))
 		},
 	})
 	r.dialer = r.fleet
@@ -129,7 +131,7 @@
 	var callers sync.WaitGroup
 	callers.Go(func() { r.submitAll(ctx) })
 	r.playing.Go(func() { r.play(ctx) })
-	asked := r.begun.Add(r.Site.Bounds.TrafficTime + r.Site.Bounds.SettleTime)
+	asked := r.begun.Add(r.Site.Bounds.TrafficEnd() + r.Site.Bounds.SettleTime)
 	if err := sleep(ctx, time.Until(asked)); err != nil {
 		return crankfakereport.Report{}, err
 	}
@@ -151,7 +153,7 @@
 
 // Scope returns what the plans of a site are drawn for.
 func Scope(site crankfakesite.Site) crankfakeplan.Scope {
-	s := crankfakeplan.Scope{Traffic: site.Bounds.TrafficTime}
+	s := crankfakeplan.Scope{Traffic: site.Bounds.TrafficTime, Recovery: site.Bounds.RecoveryTime}
 	for _, z := range site.Zones {
 		s.Zones = append(s.Zones, z.Name)
 		for n := range z.Instances {
@@ -237,7 +239,7 @@
 		p := r.watch.Tick(last)
 		if time.Since(shown) >= progressPeriod {
 			shown = time.Now()
-			r.Logger.Info("rig: progress", "at", r.age(), "open", p.Open, "still", p.Still, "in-use", fmt.Sprintf("%.2f", p.InUse), "runs", r.fleet.Runs(), "leader", r.leader())
+			r.Logger.Info("rig: progress", "at", r.age(), "open", p.Open, "still", p.Still, "in-use", fmt.Sprintf("%.2f", p.InUse), "shares", fmt.Sprintf("%.2f", p.Shares), "runs", r.fleet.Runs(), "leader", r.leader())
 		}
 	}
 }
--- a/standin/crankfakerig/site.go
+++ b/standin/crankfakerig/site.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -39,14 +38,11 @@
 }
 
 func (r *Rig) addMachine(z crankfakesite.Zone, n int) error {
-	w := r.Site.Worker
+	entry := r.Site.Entry(z, n)
+	entry.Pool = pool
 	m, err := crankfakemachine.Start(crankfakemachine.Config{
 		Name: machineName(z, n), Heartbeat: r.Site.Bounds.Heartbeat, Fleet: r.fleet, Dialer: r.dialer, Store: r.store,
-		Entry: crank.WorkerEntry{
-			Pool: pool, Zone: z.Name, Labels: []string{"a", fmt.Sprintf("%s-r%d", z.Name, n/w.RackSize)},
-			Capacity: crank.Demand{MilliCores: w.MilliCores, MemoryMiB: w.MemoryMiB, Accelerators: w.Accelerators},
-		},
-		Ports: r.ports, SetFault: r.setFault, Ghosts: r.ghosts,
+		Entry: entry, Ports: r.ports, SetFault: r.setFault, SetFailing: r.setFailing, Ghosts: r.ghosts,
 	})
 	if err != nil {
 		return err
@@ -55,6 +51,23 @@
 	return nil
 }
 
+// machineOf returns the name of the machine of a worker.
+func machineOf(worker string) string {
+	return worker[:max(0, strings.LastIndexByte(worker, '-'))]
+}
+
+func (r *Rig) failingShare(worker string) float64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.failing[worker]
+}
+
+func (r *Rig) setFailing(worker string, share float64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.failing[worker] = share
+}
+
 func (r *Rig) setFault(worker string, f crankfakefleet.Fault) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -141,9 +154,10 @@
 
 func (r *Rig) report(asked time.Time) crankfakereport.Report {
 	report := crankfakereport.New(r.watch, r.begun, asked, r.Site.Bounds.StillTime)
+	inFleet := r.fleet.Violations() // its lock is taken before that of the rig
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	report.Seed, report.RigFaults = r.Seed, slices.Clone(r.rigFaults)
-	report.Violations = slices.Concat(r.violations, report.Violations, r.fleet.Violations())
+	report.Violations = slices.Concat(r.violations, report.Violations, inFleet)
 	return report
 }
--- a/standin/crankfakewatch/watch.go
+++ b/standin/crankfakewatch/watch.go
@@ -43,7 +43,8 @@
 	done        map[crank.TaskID]bool // as its worker saw
 	noted       map[crank.TaskID]bool // acknowledged to its worker
 	failures    map[crank.TaskID]int
-	completedAt time.Time // its last task ended
+	startFence  map[crank.TaskID]int64 // of the newest run
+	completedAt time.Time              // its last task ended
 	still       map[stillKey]*Still
 }
 
@@ -69,6 +70,10 @@
 const (
 	ViewWorker View = "worker" // ends that workers saw
 	ViewNoted  View = "noted"  // ends that were acknowledged to workers
+	// ViewFull is ViewWorker for a task that lasts, however full the pool is.
+	ViewFull View = "full"
+	// ViewRoom is ViewWorker however full the pool is. It breaks no rule.
+	ViewRoom View = "room"
 )
 
 // Still is a time in which a job had nothing running, though a task could run.
@@ -81,6 +86,9 @@
 	To    time.Time
 	Runs  int // of the job so far
 	Open  bool
+	Calm  time.Duration // its longest part in the calm
+
+	calmFrom time.Time // of the part that lasts, zero for none
 }
 
 // New returns a watch without jobs.
@@ -92,7 +100,7 @@
 	defer w.mu.Unlock()
 	w.jobs[j.ID] = &job{
 		Job: j, submittedAt: time.Now(), running: make(map[crank.TaskID]int), lastRun: make(map[crank.TaskID]time.Time),
-		done: make(map[crank.TaskID]bool), noted: make(map[crank.TaskID]bool), failures: make(map[crank.TaskID]int), still: make(map[stillKey]*Still),
+		done: make(map[crank.TaskID]bool), noted: make(map[crank.TaskID]bool), failures: make(map[crank.TaskID]int), startFence: make(map[crank.TaskID]int64), still: make(map[stillKey]*Still),
 	}
 }
 
@@ -124,15 +132,21 @@
 	w.jobs[id].cancelAcked = time.Now()
 }
 
-// Spec returns a submitted job.
-func (w *Watch) Spec(id string) (crank.StepJob, bool) {
+// Job returns a submitted job.
+func (w *Watch) Job(id string) (crankfakesite.Job, bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	j, ok := w.jobs[id]
 	if !ok {
-		return crank.StepJob{}, false
+		return crankfakesite.Job{}, false
 	}
-	return j.StepJob, true
+	return j.Job, true
+}
+
+// Spec returns the steps of a submitted job.
+func (w *Watch) Spec(id string) (crank.StepJob, bool) {
+	j, ok := w.Job(id)
+	return j.StepJob, ok
 }
 
 // Violations returns the rules broken so far.
@@ -166,6 +180,9 @@
 				j.completedAt = e.At
 			}
 		}
+		if e.How == crank.EndGangTimeout && j.owed() && w.Calm() {
+			w.violate("task %s waited for its gang in vain on %s, started in term %d", e.Task, e.Worker, j.startFence[e.Task])
+		}
 		if e.How == crank.EndFailed {
 			j.failures[j.attemptKey(e.Task)]++
 		}
@@ -182,6 +199,7 @@
 	}
 	j.runs++
 	j.running[e.Task]++
+	j.startFence[e.Task] = e.Fence
 	if j.answer == Refused {
 		w.violate("refused job %s has run: task %s on %s", j.ID, e.Task, e.Worker)
 	}
