--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -22,15 +22,16 @@
 	Free           crank.Demand   // not held by any run
 	Future         crank.Demand   // Free plus what runs that are being stopped hold
 	Eventual       crank.Demand   // Total less what long-running tasks hold
-	Ends           []ExpectedEnd  // of the runs between Future and Eventual, the first first
+	Ends           []ExpectedEnd  // of the runs between Future and Eventual
 	Schedulable    bool           // new tasks may be started
 	HasLatencyTask bool           // runs a task with a latency target
 	HasBestEffort  bool           // runs a best-effort task
 	TasksByStep    map[string]int // by Request.StepKey
 	FailureCount   int            // recent failures; workers with fewer are preferred
 
-	taskIn    time.Duration // freeIn of one task, while a request for EventualCapacity is placed
-	rackCores float64       // available on the worker's rack, while a request is placed on any rack
+	endsSorted bool          // Ends are in order
+	taskIn     time.Duration // freeIn of one task, while a request for EventualCapacity is placed
+	rackCores  float64       // available on the worker's rack, while a request is placed on any rack
 }
 
 // ExpectedEnd is when a run is expected to free its capacity.
@@ -182,13 +183,14 @@
 }
 
 // AddEnd adds the expected end of a run.
-func (w *WorkerCapacity) AddEnd(e ExpectedEnd) {
-	i, _ := slices.BinarySearchFunc(w.Ends, e, func(a, b ExpectedEnd) int { return cmp.Compare(a.In, b.In) })
-	w.Ends = slices.Insert(w.Ends, i, e)
-}
+func (w *WorkerCapacity) AddEnd(e ExpectedEnd) { w.Ends, w.endsSorted = append(w.Ends, e), false }
 
 // freeIn returns how long it is expected to take until a demand of Eventual is free.
 func (w *WorkerCapacity) freeIn(need crank.Demand) time.Duration {
+	if !w.endsSorted {
+		slices.SortFunc(w.Ends, func(a, b ExpectedEnd) int { return cmp.Compare(a.In, b.In) })
+		w.endsSorted = true
+	}
 	have, in := w.Future, time.Duration(0)
 	for _, e := range w.Ends {
 		if have.Covers(need) {
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -97,7 +97,7 @@
 	e := w.entry
 	c := &crankpack.WorkerCapacity{
 		Worker: e.ID, Zone: e.Zone, Rack: e.Rack, Labels: e.Labels, Total: e.Capacity, Free: e.Capacity, Future: e.Capacity, Eventual: e.Capacity,
-		Schedulable: schedulable, TasksByStep: make(map[string]int), FailureCount: s.failureCount(w),
+		Schedulable: schedulable, Ends: make([]crankpack.ExpectedEnd, 0, len(w.placements)), TasksByStep: make(map[string]int), FailureCount: s.failureCount(w),
 	}
 	for _, p := range w.placements {
 		c.Free = c.Free.Minus(p.demand)
