--- a/internal/cranksched/reservation.go
+++ b/internal/cranksched/reservation.go
@@ -41,10 +41,9 @@
 	if chosen == nil && q.Step.SameRack {
 		chosen = pool.Place(q.AcrossRacks(), crankpack.EventualCapacity)
 	}
-	r := reservation{request: q, workers: chosen}
+	r := reservation{request: q, workers: chosen, wait: crankpack.LongestWait(chosen, q)}
 	for _, c := range chosen {
 		c.Reserve(q)
-		r.wait = max(r.wait, c.EventualIn)
 	}
 	return r, chosen != nil
 }
@@ -72,7 +71,7 @@
 			continue
 		}
 		waited := now.Sub(u.waitingSince)
-		ends := !u.step.LongRunning && u.step.RunTime > 0 && u.step.RunTime <= wait
+		ends := !u.step.LongRunning && u.step.RunTime > 0 && u.step.RunTime < wait
 		overdue := u.step.LongRunning && waited > longRunningOverdueTime
 		stands := u.job.placed == 0 && min(waited, now.Sub(newest[pool])) > reservedStandTime
 		switch {
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -97,20 +97,23 @@
 	e := w.entry
 	c := &crankpack.WorkerCapacity{
 		Worker: e.ID, Zone: e.Zone, Rack: e.Rack, Labels: e.Labels, Total: e.Capacity, Free: e.Capacity, Future: e.Capacity, Eventual: e.Capacity,
-		Schedulable: schedulable, TasksByStep: make(map[string]int), FailureCount: s.failureCount(w),
+		Schedulable: schedulable, Ends: make([]crankpack.ExpectedEnd, 0, len(w.placements)), TasksByStep: make(map[string]int), FailureCount: s.failureCount(w),
 	}
 	for _, p := range w.placements {
 		c.Free = c.Free.Minus(p.demand)
 		if p.state != stateStopping {
 			c.Future = c.Future.Minus(p.demand)
-			c.EventualIn = max(c.EventualIn, p.timeLeft())
+		}
+		switch {
+		case p.state == stateStopping:
+		case p.step != nil && p.step.LongRunning:
+			c.Eventual = c.Eventual.Minus(p.demand)
+		default:
+			c.AddEnd(crankpack.ExpectedEnd{In: p.timeLeft(), Demand: p.demand})
 		}
 		if p.step == nil {
 			continue
 		}
-		if p.step.LongRunning && p.state != stateStopping {
-			c.Eventual = c.Eventual.Minus(p.demand)
-		}
 		c.TasksByStep[p.stepKey]++
 		c.HasLatencyTask = c.HasLatencyTask || p.step.Latency > 0
 		c.HasBestEffort = c.HasBestEffort || p.step.BestEffort
