A leader stops a gang in part before it releases its term

Answers to the orders of a gang were not handled once the term was over, and stop orders were cancelled with it: a gang with an order that got no answer was left in part to the successor.

For up to 700 ms after the end of the term, which is within the time in which others don't claim it, the planner handles these answers, and stop orders of gangs are sent.

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -177,16 +177,45 @@
 	p.state, p.startedAt = stateOrdered, time.Now()
 	s.priorityScope(t.job.spec.Priority).Timer("place_wait").Record(time.Since(t.waitingSince))
 	order := crank.RunOrder{Task: p.id, Run: p.run, Payload: t.job.spec.Payload, Checkpoint: t.checkpoint, Fence: s.Term, DeadlineMs: p.conclusiveAfter}
-	ctx, client := s.ctx, p.worker.client
-	if p.step.Gang { // the end of the term must not cut off some members
-		ctx = context.WithoutCancel(ctx)
-	}
-	s.orders.Go(func() {
+	client := p.worker.client
+	s.send(p, func(ctx context.Context) func() {
 		reply, uncertain, err := s.tryStart(ctx, client, order)
-		s.post(func() { s.handleStartReply(p, reply, uncertain, err) })
+		return func() { s.handleStartReply(p, reply, uncertain, err) }
 	})
 }
 
+// send calls order beside the planner and then, on the planner's goroutine, what order
+// returns. The end of the term does not cut off orders of gangs.
+func (s *Scheduler) send(p *placement, order func(ctx context.Context) func()) {
+	if p.step == nil || !p.step.Gang {
+		go func() { s.post(order(s.ctx)) }()
+		return
+	}
+	s.gangOrders++
+	go func() {
+		handle := order(s.ordersCtx)
+		select {
+		case s.inbox <- func() { s.gangOrders--; handle() }:
+		case <-s.ordersCtx.Done():
+		}
+	}()
+}
+
+// finishOrders handles the answers to orders of gangs after the end of the term. It stops
+// those gangs of which a start got none.
+func (s *Scheduler) finishOrders() {
+	deadline := time.After(handOverTime)
+	for s.gangOrders > 0 {
+		select {
+		case f := <-s.inbox:
+			f()
+		case <-deadline:
+			s.Logger.Warn("sched: term ends before answers to orders of gangs", "orders", s.gangOrders)
+			return
+		}
+	}
+}
+
 // tryStart sends a start order and retries it if no answer comes; workers treat equal
 // starts as one. After a try without an answer the result is uncertain: that try may
 // have taken effect, whatever the next answer says.
@@ -278,12 +307,12 @@
 	}
 	client := p.worker.client
 	order := crank.StopOrder{Task: p.id, Run: p.run, Fence: s.Term}
-	go func() {
-		ctx, cancel := context.WithTimeout(s.ctx, stopTimeout)
+	s.send(p, func(ctx context.Context) func() {
+		callCtx, cancel := context.WithTimeout(ctx, stopTimeout)
 		defer cancel()
-		reply, err := client.Stop(ctx, order)
-		s.post(func() { s.handleStopReply(p, reply, err) })
-	}()
+		reply, err := client.Stop(callCtx, order)
+		return func() { s.handleStopReply(p, reply, err) }
+	})
 }
 
 // handleStopReply handles the answer to a stop order. A worker that has answered
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -45,7 +45,6 @@
 	"context"
 	"log/slog"
 	"strconv"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -114,6 +113,7 @@
 	gangStartShare    = 0.6                     // longest start window, as a share of how long a gang member waits for the others
 	stopTimeout       = 600 * time.Millisecond  // of one try of a stop order
 	stopMargin        = 300 * time.Millisecond  // for the report of the end, before a stop order is repeated
+	handOverTime      = 700 * time.Millisecond  // for orders of gangs at the end of a term; others don't claim it yet
 	gangEndGrace      = 2 * time.Second         // members of a gang that is done report their ends within one renewal
 	placeWriteDelay   = 250 * time.Millisecond  // for places of tasks that were started without
 	writeRetry        = 100 * time.Millisecond  // after a failed write
@@ -139,7 +139,9 @@
 	list   *crankfleet.List
 	writer *crankfeed.Writer
 	ctx    context.Context
-	orders sync.WaitGroup // start orders without an answer
+
+	ordersCtx  context.Context // of orders of gangs; ends after ctx
+	gangOrders int             // without an answer
 
 	revision          int64 // of the job state, last applied
 	jobs              map[string]*job
@@ -214,10 +216,13 @@
 // plannerProducer is the producer of the planner's records; the term is its epoch.
 const plannerProducer = "planner"
 
-// Run takes over the term and plans until the context ends, then waits for the answers to
-// the start orders of gangs. It returns early if the takeover fails.
+// Run takes over the term and plans until the context ends, then finishes the orders of
+// gangs. It returns early if the takeover fails.
 func (s *Scheduler) Run(ctx context.Context) {
 	s.ctx = ctx
+	ordersCtx, cancelOrders := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancelOrders()
+	s.ordersCtx = ordersCtx
 	s.writer = crankfeed.NewWriter(crankfeed.WriterConfig{
 		Store: s.Store, Topic: crank.JobTopic, Logger: s.Logger, Producer: plannerProducer, Epoch: s.Term, Limits: s.StoreLimits, MaxQueueTime: maxWriteQueueTime,
 	})
@@ -248,7 +253,7 @@
 		case <-ctx.Done():
 		}
 	}
-	s.orders.Wait()
+	s.finishOrders()
 }
 
 // takeOver fences out the planners of earlier terms in the store and loads what they
--- a/proofs/crankentryproof/gang_order_test.go
+++ b/proofs/crankentryproof/gang_order_test.go
@@ -13,11 +13,10 @@
 	"github.com/matryer/is"
 )
 
-// gangLog records the starts of gang members and the ends of those that waited in vain.
+// gangLog records the starts and ends of gang members.
 type gangLog struct {
-	mu      sync.Mutex
-	started []crankfakefleet.Event
-	alone   []crankfakefleet.Event
+	mu     sync.Mutex
+	events []crankfakefleet.Event
 }
 
 // recordGangs records the starts and ends of gang members from now on.
@@ -27,35 +26,31 @@
 		f.Observe = func(e crankfakefleet.Event) {
 			l.mu.Lock()
 			defer l.mu.Unlock()
-			switch {
-			case e.Kind == crankfakefleet.EventStarted:
-				l.started = append(l.started, e)
-			case e.How == crank.EndGangTimeout && e.Kind == crankfakefleet.EventEnded:
-				l.alone = append(l.alone, e)
-			}
+			l.events = append(l.events, e)
 		}
 	})
 	return l
 }
 
-func (l *gangLog) aloneEnds() []crankfakefleet.Event {
+// ends returns the ends of a kind.
+func (l *gangLog) ends(how crank.EndKind) []crankfakefleet.Event {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.alone
+	var ends []crankfakefleet.Event
+	for _, e := range l.events {
+		if e.Kind == crankfakefleet.EventEnded && e.How == how {
+			ends = append(ends, e)
+		}
+	}
+	return ends
 }
 
-// awaitStart waits until a member of a job has started.
-func (l *gangLog) awaitStart(job string) {
-	for {
+// awaitStart waits until a member has started.
+func (l *gangLog) awaitStart() {
+	for started := false; !started; time.Sleep(5 * time.Millisecond) {
 		l.mu.Lock()
-		for _, e := range l.started {
-			if e.Task.Job == job {
-				l.mu.Unlock()
-				return
-			}
-		}
+		started = len(l.events) > 0
 		l.mu.Unlock()
-		time.Sleep(5 * time.Millisecond)
 	}
 }
 
@@ -85,14 +80,33 @@
 		c.disturbLaterStarts(crankfakefleet.Fault{TransitTime: 150 * time.Millisecond})
 		caller := c.notLeader()
 		is.NoErr(c.submit(caller, "urgent", "job1", gangStep(4, 8, 4*time.Second)))
-		log.awaitStart("job1")
+		log.awaitStart()
 		c.shutDown(c.leader())
 		c.awaitPhase(caller, "urgent", "job1", crank.PhaseCompleted, 5*time.Second)
-		is.Equal(log.aloneEnds(), nil)
+		is.Equal(log.ends(crank.EndGangTimeout), nil)
 		is.Equal(c.fleet.Runs(), 4)
 	})
 }
 
+// A gang of which an order got no answer was left in part to the successor.
+func TestGangIsStoppedBeforeTheTermIsReleased(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(4)
+		time.Sleep(settled)
+		log := c.recordGangs()
+		c.disturbLaterStarts(crankfakefleet.Fault{DropRequest: true})
+		caller := c.notLeader()
+		is.NoErr(c.submit(caller, "urgent", "job1", gangStep(4, 8, time.Second)))
+		log.awaitStart()
+		c.shutDown(c.leader())
+		clearWorkerFaults(c)
+		time.Sleep(leaseBounds.StopTime)
+		is.Equal(len(log.ends(crank.EndStopped)), 1) // the successor's stop would take effect later
+		c.awaitPhase(caller, "urgent", "job1", crank.PhaseCompleted, 3*time.Second)
+	})
+}
+
 // A successor left the members alone that its predecessor had started before it was lost.
 func TestSuccessorEndsAPartOfAGang(t *testing.T) {
 	for _, members := range []int{2, 4} {
@@ -107,11 +121,11 @@
 				c.disturbLaterStarts(crankfakefleet.Fault{DropRequest: true})
 				caller := c.notLeader()
 				is.NoErr(c.submit(caller, "urgent", "job1", gangStep(members, 8, time.Second)))
-				log.awaitStart("job1")
+				log.awaitStart()
 				c.kill(c.leader())
 				clearWorkerFaults(c)
 				c.awaitPhase(caller, "urgent", "job1", crank.PhaseCompleted, 3500*time.Millisecond)
-				is.Equal(log.aloneEnds(), nil)
+				is.Equal(log.ends(crank.EndGangTimeout), nil)
 				is.Equal(c.fleet.Runs(), members+1)
 			}, func(t *testing.T, violation string) { t.Error(violation) })
 		})
@@ -167,7 +181,7 @@
 		}
 		time.Sleep(leaseBounds.GangTimeout + settled)
 		is.Equal(c.termNumber(), term+1)
-		for _, e := range log.aloneEnds() {
+		for _, e := range log.ends(crank.EndGangTimeout) {
 			t.Error(strings.Join([]string{e.Task.String(), fmt.Sprint("run ", e.Run), e.Worker, "ended alone"}, ", "))
 		}
 	})
