A page of newest records that was lost is asked for again

Loading a topic had 10 s in all. A request for a page that was lost when the store fell silent took up what was left of them, also after the store was back, and all of the topic was loaded anew then. After an outage right after a start, no instance had the job topic for seconds, and the leader could not take its term over.

One that arrives slowly is read on.

--- a/proofs/crankentryproof/store_answer_test.go
+++ b/proofs/crankentryproof/store_answer_test.go
@@ -1,12 +1,15 @@
 package crankentryproof
 
 import (
+	"context"
 	"encoding/base64"
 	"encoding/binary"
 	"fmt"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	crank "cranberrycrank"
 	crankadapter "cranberrycrank/platform"
@@ -54,6 +57,47 @@
 	}
 }
 
+// A page that was lost in an outage of the store kept instances from loading a topic for
+// 10 s.
+func TestLostPageIsAskedForAgain(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	store := crankadapter.NewStore(crankadapter.NewClient(), serve(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch requests.Add(1) {
+		case 1:
+			_, _ = w.Write([]byte(`{"items":[{"key":"w1","value":"e30=","offset":0}],"has_more":true,"end_offset":2}`))
+		case 2:
+			<-r.Context().Done()
+		default:
+			is.Equal(r.URL.Query().Get("after"), "w1")
+			_, _ = w.Write([]byte(`{"items":[{"key":"w2","value":"e30=","offset":1}],"has_more":false,"end_offset":2}`))
+		}
+	})))
+	ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+	defer cancel()
+	batch, err := store.Newest(ctx, crank.WorkerTopic)
+	is.NoErr(err)
+	is.Equal(len(batch.Records), 2)
+}
+
+// A page that arrives slowly is not given up.
+func TestSlowPageIsReadOnce(t *testing.T) {
+	is := is.New(t)
+	var requests atomic.Int32
+	store := crankadapter.NewStore(crankadapter.NewClient(), serve(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		requests.Add(1)
+		for _, part := range []string{`{"items":[{"key":"w1",`, `"value":"e30=","offset":0}],`, `"has_more":false,`, `"end_offset":1}`} {
+			_, _ = w.Write([]byte(part))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(400 * time.Millisecond)
+		}
+	})))
+	batch, err := store.Newest(t.Context(), crank.WorkerTopic)
+	is.NoErr(err)
+	is.Equal(len(batch.Records), 1)
+	is.Equal(requests.Load(), int32(1))
+}
+
 // readAnswer encodes the answer to a read.
 func readAnswer(end int, records ...string) []byte {
 	data := binary.BigEndian.AppendUint64(nil, uint64(end))
