--- a/internal/cranksched/health.go
+++ b/internal/cranksched/health.go
@@ -7,8 +7,8 @@
 // workerHealth counts failures on one incarnation of a worker since its last
 // successful run.
 type workerHealth struct {
-	failed      map[string]map[string]bool // by job, the tasks with a failed run; see failureKey
-	stalledRuns int                        // runs stopped for lack of progress
+	failedJobs  map[string]bool // jobs with a failed run
+	stalledRuns int             // runs stopped for lack of progress
 }
 
 // Limits of worker health.
@@ -23,7 +23,7 @@
 func (s *Scheduler) healthOf(w *worker) *workerHealth {
 	h := s.health[w.incarnation]
 	if h == nil {
-		h = &workerHealth{failed: make(map[string]map[string]bool)}
+		h = &workerHealth{failedJobs: make(map[string]bool)}
 		s.health[w.incarnation] = h
 	}
 	return h
@@ -34,64 +34,23 @@
 	if h == nil {
 		return 0
 	}
-	return len(h.failed) + h.stalledRuns
+	return len(h.failedJobs) + h.stalledRuns
 }
 
 func (s *Scheduler) recordSuccess(w *worker) {
 	delete(s.health, w.incarnation)
 }
 
-// failureKey identifies what fails together: a task, or a gang.
-func failureKey(t *task) string {
-	if t.step.Gang {
-		return stepKey(t)
-	}
-	return t.id.String()
-}
-
 // recordFailure counts a failed run and quarantines a worker on which several jobs
-// failed in a row. A task that fails on a second worker says nothing of either.
+// failed in a row.
 //
 // Load pattern: a burst of jobs that can never be done fails on every worker.
-func (s *Scheduler) recordFailure(w *worker, t *task) {
-	key := failureKey(t)
-	if s.withdrawFailures(w, t, key) {
-		for _, m := range t.members() {
-			m.failsAnywhere = true
-		}
-	}
-	if t.failsAnywhere {
-		return
-	}
+func (s *Scheduler) recordFailure(w *worker, job string) {
 	h := s.healthOf(w)
-	if h.failed[t.id.Job] == nil {
-		h.failed[t.id.Job] = make(map[string]bool)
-	}
-	h.failed[t.id.Job][key] = true
-	if len(h.failed) >= quarantineThreshold && s.mayQuarantine(w) {
-		s.quarantine(w, "consecutive failed runs", len(h.failed))
-	}
-}
-
-// withdrawFailures forgets that a task failed on other workers, ends the quarantines that
-// rest on that, and reports whether there were any.
-func (s *Scheduler) withdrawFailures(failedOn *worker, t *task, key string) (found bool) {
-	for _, w := range s.workers {
-		h := s.health[w.incarnation]
-		if w == failedOn || h == nil || !h.failed[t.id.Job][key] {
-			continue
-		}
-		found = true
-		if delete(h.failed[t.id.Job], key); len(h.failed[t.id.Job]) == 0 {
-			delete(h.failed, t.id.Job)
-		}
-		if len(h.failed) < quarantineThreshold && h.stalledRuns == 0 && time.Now().Before(w.quarantinedUntil) {
-			w.quarantinedUntil = time.Time{}
-			s.changed = true
-			s.Logger.Info("sched: quarantine ended", "worker", w.entry.ID, "task", t.id, "also-failed-on", failedOn.entry.ID)
-		}
+	h.failedJobs[job] = true
+	if len(h.failedJobs) >= quarantineThreshold && s.mayQuarantine(w) {
+		s.quarantine(w, "consecutive failed runs", len(h.failedJobs))
 	}
-	return found
 }
 
 // mayQuarantine reports whether enough workers stay in use beside those in quarantine, of
--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -33,22 +33,21 @@
 }
 
 type task struct {
-	job           *job
-	occurrence    *occurrence // nil if it was closed
-	id            crank.TaskID
-	ordinal       int
-	step          *crank.Step
-	done          bool
-	mayRun        bool // it is stored that a start may have been ordered
-	recorded      int  // its place in the newest record, which may not be stored yet; 0 for any
-	placeStored   bool // that record is stored
-	held          bool // an earlier term may have started it at its recorded place
-	placement     *placement
-	lastRun       int64           // highest known number
-	checkpoint    string          // newest, or empty
-	avoided       map[string]bool // workers where it failed, stalled or was refused
-	failsAnywhere bool            // has failed on more than one worker
-	waitingSince  time.Time       // end of its last placement, or when its turn came, as far as this planner knows
+	job          *job
+	occurrence   *occurrence // nil if it was closed
+	id           crank.TaskID
+	ordinal      int
+	step         *crank.Step
+	done         bool
+	mayRun       bool // it is stored that a start may have been ordered
+	recorded     int  // its place in the newest record, which may not be stored yet; 0 for any
+	placeStored  bool // that record is stored
+	held         bool // an earlier term may have started it at its recorded place
+	placement    *placement
+	lastRun      int64           // highest known number
+	checkpoint   string          // newest, or empty
+	avoided      map[string]bool // workers where it failed, stalled or was refused
+	waitingSince time.Time       // end of its last placement, or when its turn came, as far as this planner knows
 }
 
 // runsPerTerm is the number of run numbers that each term has for a task.
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -172,7 +172,7 @@
 			s.finishRun(t)
 		}
 	case crank.EndFailed:
-		s.recordFailure(w, t)
+		s.recordFailure(w, j.spec.ID)
 		t.avoidWorker(w.entry.ID)
 		s.countFailedRun(t, e.Run)
 	case crank.EndGangTimeout:
