sched: work that ends before a reservation begins uses its capacity, also in busy pools

Reservations take the workers that become free first, so that in a busy pool those that were free stayed unused until the last one was. TestTaskThatEndsBeforeAReservationStarts failed before.

--- a/internal/cranksched/reservation.go
+++ b/internal/cranksched/reservation.go
@@ -54,43 +54,40 @@
 	}
 }
 
-// placeOnReserved starts jobs in idle pools on capacity that is reserved for gangs: those
-// that end before the gangs are expected to start, long-running tasks that are overdue and,
-// as that time is an estimate and may be far off, one task or gang of each job that stands.
+// placeOnReserved starts work on reserved capacity that ends before the reservations are
+// expected to begin. That time is an estimate and may be far off, so in idle pools long-running
+// tasks that are overdue start there as well, and one task or gang of each job that stands.
 // Those wait until no new jobs come, so that a gang is overtaken by a limited number.
 func (s *Scheduler) placeOnReserved(units []unit, pools map[string]*crankpack.Pool, reservations map[string][]reservation, now time.Time) {
-	waits := cancelInIdlePools(pools, reservations)
-	if len(waits) == 0 {
+	if len(reservations) == 0 {
 		return
 	}
-	newest := s.newestJobs()
+	waits, newest := cancelAll(pools, reservations), s.newestJobs()
 	for _, u := range units {
-		pool := u.job.spec.Pool
-		wait, idle := waits[pool]
-		if !idle {
+		name := u.job.spec.Pool
+		wait, reserved := waits[name]
+		if !reserved {
 			continue
 		}
-		waited := now.Sub(u.waitingSince)
+		pool, waited := pools[name], now.Sub(u.waitingSince)
+		idle := pool.InUse() < idleShare
 		ends := !u.step.LongRunning && u.step.RunTime > 0 && u.step.RunTime < wait
-		overdue := u.step.LongRunning && waited > longRunningOverdueTime
-		stands := u.job.placed == 0 && min(waited, now.Sub(newest[pool])) > reservedStandTime
+		overdue := idle && u.step.LongRunning && waited > longRunningOverdueTime
+		stands := idle && u.job.placed == 0 && min(waited, now.Sub(newest[name])) > reservedStandTime
 		switch {
 		case ends, overdue, stands && u.step.Gang:
-			s.placeFree(u, u.tasks, pools[pool], now)
+			s.placeFree(u, u.tasks, pool, idle, now)
 		case stands:
-			s.placeFree(u, u.tasks[:1], pools[pool], now)
+			s.placeFree(u, u.tasks[:1], pool, idle, now)
 		}
 	}
 }
 
-// cancelInIdlePools cancels the reservations in idle pools, and returns the shortest
-// expected wait of each of these pools.
-func cancelInIdlePools(pools map[string]*crankpack.Pool, reservations map[string][]reservation) map[string]time.Duration {
+// cancelAll cancels the reservations, and returns the shortest expected wait of each pool
+// that has any.
+func cancelAll(pools map[string]*crankpack.Pool, reservations map[string][]reservation) map[string]time.Duration {
 	waits := make(map[string]time.Duration)
 	for name, reserved := range reservations {
-		if pools[name].InUse() >= idleShare {
-			continue
-		}
 		waits[name] = reserved[0].wait
 		for _, r := range reserved {
 			r.cancel()
@@ -113,7 +110,7 @@
 }
 
 // placeFree starts those of a unit's tasks that fit now.
-func (s *Scheduler) placeFree(u unit, tasks []*task, pool *crankpack.Pool, now time.Time) {
+func (s *Scheduler) placeFree(u unit, tasks []*task, pool *crankpack.Pool, acrossRacks bool, now time.Time) {
 	together := 1
 	if u.step.Gang {
 		together = len(tasks)
@@ -124,7 +121,7 @@
 		}
 		q := u.request(some, now)
 		chosen := pool.Place(q, crankpack.FreeCapacity)
-		if chosen == nil && q.Step.SameRack {
+		if chosen == nil && acrossRacks && q.Step.SameRack {
 			chosen = pool.Place(q.AcrossRacks(), crankpack.FreeCapacity)
 		}
 		if chosen != nil {
--- a/proofs/crankentryproof/reservation_wait_test.go
+++ b/proofs/crankentryproof/reservation_wait_test.go
@@ -107,3 +107,24 @@
 		is.True(c.fleet.HasStarted("whole"))
 	})
 }
+
+// In a busy service what a gang waits for stayed unused, also by tasks that end before.
+func TestTaskThatEndsBeforeAReservationStarts(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUpRacks(1)
+		wholeWorkers := independentTasks(3, 8*time.Second)
+		wholeWorkers.Demand.Accelerators = 8
+		is.NoErr(c.submit("a", "patient", "busy", wholeWorkers))
+		time.Sleep(500 * time.Millisecond)
+		is.NoErr(c.submit("a", "patient", "gang", anyRackGang(4, time.Second)))
+		time.Sleep(2 * time.Second)
+		is.NoErr(c.submit("b", "patient", "long", independentTasks(1, 20*time.Second)))
+		is.NoErr(c.submit("b", "patient", "short", independentTasks(1, 2*time.Second)))
+		time.Sleep(time.Second)
+		is.True(c.fleet.HasStarted("short"))
+		is.True(!c.fleet.HasStarted("long"))
+		time.Sleep(6 * time.Second)
+		is.True(c.fleet.HasStarted("gang"))
+	})
+}
