Emulator: planted faults that only mixed jobs show

Change: four faults, each to be found within ten seeds of mixed-hall: a same-rack gang that is bound to one rack, a data rack that is required (both planted in the submission as a required label), ends that are shown as running so that their capacity is not given back, and starts of gang members that are lost though answered. The first two play with gangs that may be larger than a rack.

--- a/standin/crankfakerig/caller.go
+++ b/standin/crankfakerig/caller.go
@@ -14,7 +14,6 @@
 
 	crank "cranberrycrank"
 	"cranberrycrank/standin/crankfakeinstance"
-	"cranberrycrank/standin/crankfakeplatform"
 	"cranberrycrank/standin/crankfakesite"
 	"cranberrycrank/standin/crankfakewatch"
 )
@@ -115,7 +114,7 @@
 
 // post makes one attempt to submit a job and waits for the answer up to a limit.
 func (r *Rig) post(ctx context.Context, j crankfakesite.Job, i *crankfakeinstance.Instance, limit time.Duration) crankfakewatch.Answer {
-	a := r.sendWithin(ctx, limit, http.MethodPost, i.Addr(), path(j), key(j), crankfakeplatform.EncodeJob(j.StepJob))
+	a := r.sendWithin(ctx, limit, http.MethodPost, i.Addr(), path(j), key(j), r.encode(j.StepJob))
 	switch a.status {
 	case http.StatusOK, http.StatusCreated, http.StatusAccepted:
 		return crankfakewatch.Accepted
--- a/standin/crankfakerig/planted_test.go
+++ b/standin/crankfakerig/planted_test.go
@@ -1,9 +1,11 @@
 package crankfakerig
 
 import (
+	"cmp"
 	"context"
 	"flag"
 	"log/slog"
+	"maps"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -127,9 +129,11 @@
 // plant is a fault with the way in which the checks must find it.
 type plant struct {
 	apply     func(r *Rig)
-	run       time.Duration                     // of a task, 0 for the site's
-	violation string                            // part of its text
-	isLost    func(s crankfakewatch.Still) bool // where there is none
+	run       time.Duration                             // of a task, 0 for the site's
+	violation string                                    // part of its text
+	isLost    func(r *Rig, s crankfakewatch.Still) bool // where there is none
+	change    func(s *crankfakesite.Site)               // may be nil
+	site      string                                    // small-hall if empty
 }
 
 func plants() map[string]plant {
@@ -162,8 +166,8 @@
 }
 
 // hasGhostRun returns whether a job that stood still had a run at a worker that left.
-func hasGhostRun(left *sync.Map) func(s crankfakewatch.Still) bool {
-	return func(s crankfakewatch.Still) bool {
+func hasGhostRun(left *sync.Map) func(r *Rig, s crankfakewatch.Still) bool {
+	return func(_ *Rig, s crankfakewatch.Still) bool {
 		found := false
 		left.Range(func(_, report any) bool {
 			found = found || slices.ContainsFunc(report.(crank.RenewReport).Active, func(a crank.ActiveRun) bool { return a.Task.Job == s.Job })
@@ -175,7 +179,7 @@
 
 // isFound plays a seed until the fault is found.
 func (p plant) isFound(t *testing.T, binary string, seed uint64) bool {
-	site, err := crankfakesite.Read("../../examples/sites/small-hall.ini")
+	site, err := crankfakesite.Read("../../examples/sites/" + cmp.Or(p.site, "small-hall") + ".ini")
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -184,6 +188,9 @@
 			site.Classes[n].Run, site.Classes[n].MaxRun = p.run, 2*p.run
 		}
 	}
+	if p.change != nil {
+		p.change(&site)
+	}
 	rig, err := New(Config{Binary: binary, Site: site, Seed: seed, Directory: t.TempDir(), Logger: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		t.Fatal(err)
@@ -192,7 +199,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	defer stop()
 	violated := func() bool {
-		return p.violation != "" && slices.ContainsFunc(rig.fleet.Violations(), func(v string) bool { return strings.Contains(v, p.violation) })
+		return p.violation != "" && slices.ContainsFunc(slices.Concat(rig.fleet.Violations(), rig.watch.Violations()), func(v string) bool { return strings.Contains(v, p.violation) })
 	}
 	go func() {
 		for !violated() && sleep(ctx, tickPeriod) == nil {
@@ -206,7 +213,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return p.isLost != nil && slices.ContainsFunc(report.Lost, p.isLost)
+	return p.isLost != nil && slices.ContainsFunc(report.Lost, func(s crankfakewatch.Still) bool { return p.isLost(rig, s) })
 }
 
 func TestPlantedFaultsAreFound(t *testing.T) {
@@ -217,7 +224,9 @@
 	if out, err := exec.Command("go", "build", "-o", binary, "cranberrycrank/cmd/cranberrycrank").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
-	for name, p := range plants() {
+	all := plants()
+	maps.Copy(all, mixedPlants())
+	for name, p := range all {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			for seed := range uint64(maxSeeds) {
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -20,6 +20,7 @@
 	"cranberrycrank/standin/crankfakemachine"
 	"cranberrycrank/standin/crankfakenet"
 	"cranberrycrank/standin/crankfakeplan"
+	"cranberrycrank/standin/crankfakeplatform"
 	"cranberrycrank/standin/crankfakereport"
 	"cranberrycrank/standin/crankfakesite"
 	"cranberrycrank/standin/crankfakestore"
@@ -43,8 +44,9 @@
 	Config
 	store     *crankfakestore.Store
 	fleet     *crankfakefleet.Fleet
-	dialer    crank.LeaseDialer // of the fleet, unless a test plants a fault
-	ghosts    bool              // a test's: workers that left stay listed and answer
+	dialer    crank.LeaseDialer            // of the fleet, unless a test plants a fault
+	ghosts    bool                         // a test's: workers that left stay listed and answer
+	encode    func(j crank.StepJob) []byte // of submissions, unless a test plants a fault
 	watch     *crankfakewatch.Watch
 	ports     *crankfakenet.Ports
 	instances []*crankfakeinstance.Instance
@@ -103,7 +105,7 @@
 			return j.Poisoned || hash(t, run, c.Seed) < max(classes[j.Queue].Failing, r.failingShare(worker))
 		},
 	})
-	r.dialer = r.fleet
+	r.dialer, r.encode = r.fleet, crankfakeplatform.EncodeJob
 	if r.eventFile, err = os.Create(filepath.Join(c.Directory, "runs.log")); err != nil {
 		return nil, crank.Wrap("rig start", crank.KindUnavailable, err)
 	}
