sched: planning goes on during writes that are usually slow

While a write took over 500 ms nothing new was planned, which cost a gang a second write. The limit is that for planned runs now.

--- a/internal/cranksched/unit.go
+++ b/internal/cranksched/unit.go
@@ -39,7 +39,7 @@
 func (s *Scheduler) waitingUnits(now time.Time) []unit {
 	s.openDue(now)
 	s.guaranteed = s.withinGuarantee(now)
-	storeAway := s.storeAway(now)
+	storeAway := s.writeOverdue(now)
 	var units []unit
 	for _, j := range s.jobs {
 		if j.ending() {
