pack: a gang prefers a rack without recent failures

On one rack workers that failed come last, but racks were chosen by what they have left. Where a tenth of the workers fails all, full racks with such workers were chosen first. TestGangPrefersARackWithoutFailures failed before.

--- a/internal/crankpack/pack_test.go
+++ b/internal/crankpack/pack_test.go
@@ -140,3 +140,21 @@
 	gang := Request{StepKey: "g", Tasks: 4, Step: crank.Step{Gang: true, SameRack: true, Demand: crank.Demand{Accelerators: 8}}}
 	is.Equal(len(pool.Place(gang, FreeCapacity)), 4)
 }
+
+// A gang went to the fullest rack, also where a worker of it had failed.
+func TestGangPrefersARackWithoutFailures(t *testing.T) {
+	is := is.New(t)
+	total := crank.Demand{Accelerators: 8}
+	var workers []*WorkerCapacity
+	for i := range 6 {
+		workers = append(workers, &WorkerCapacity{Worker: fmt.Sprintf("w%d", i), Rack: fmt.Sprintf("r%d", i%2), Total: total, Free: total, Schedulable: true})
+	}
+	workers[0].FailureCount = 1
+	workers[2].Free = crank.Demand{Accelerators: 4}
+	gang := Request{StepKey: "g", Tasks: 3, Step: crank.Step{Gang: true, SameRack: true, Demand: crank.Demand{Accelerators: 4}}}
+	for _, w := range NewPool(workers).Place(gang, FreeCapacity) {
+		is.True(w.FailureCount == 0)
+	}
+	gang.Tasks = 4
+	is.Equal(NewPool(workers).Place(gang, FreeCapacity)[0].Rack, "r1")
+}
--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -265,7 +265,7 @@
 		if workers == nil {
 			continue
 		}
-		cost := rackCost{remaining: remainingCores(rack, k)}
+		cost := rackCost{failures: failureCount(workers), remaining: remainingCores(rack, k)}
 		if k == EventualCapacity {
 			cost.wait = LongestWait(workers, q)
 		}
@@ -288,15 +288,24 @@
 	return placeBestFit(p.Workers, q, k)
 }
 
-// rackCost is what decides between racks on which a request fits: how long it waits there,
-// then the available cores of the rack.
+// rackCost is what decides between racks on which a request fits: recent failures of its
+// workers there, how long it waits, then the available cores of the rack.
 type rackCost struct {
+	failures  int
 	wait      time.Duration
 	remaining float64
 }
 
 func (c rackCost) less(o rackCost) bool {
-	return c.wait < o.wait || (c.wait == o.wait && c.remaining < o.remaining)
+	return cmp.Or(cmp.Compare(c.failures, o.failures), cmp.Compare(c.wait, o.wait), cmp.Compare(c.remaining, o.remaining)) < 0
+}
+
+func failureCount(workers []*WorkerCapacity) int {
+	n := 0
+	for _, w := range workers {
+		n += w.FailureCount
+	}
+	return n
 }
 
 // LongestWait returns how long it is expected to take until the workers that Place returned
