--- a/proofs/crankentryproof/stand_play_test.go
+++ b/proofs/crankentryproof/stand_play_test.go
@@ -43,12 +43,12 @@
 		return crank.StepJob{Steps: []crank.Step{independentTasks(1+n, time.Duration(1+n%4)*time.Second)}}
 	},
 	func(n int) crank.StepJob {
-		gang := gangStep(2, 1+n%4, time.Duration(1+n%5)*time.Second)
+		gang := gangStep(2+n%3, 1+n%8, time.Duration(1+n%5)*time.Second)
 		gang.SameRack, gang.Checkpoints = false, n%2 == 0
 		return crank.StepJob{Steps: []crank.Step{gang}}
 	},
 	func(n int) crank.StepJob {
-		first, second := independentTasks(1+n%5, time.Second), gangStep(2, 1+n%4, time.Second)
+		first, second := independentTasks(1+n%5, time.Second), gangStep(2+n%3, 1+n%8, time.Second)
 		second.After, second.SameRack = []int{0}, false
 		return crank.StepJob{Steps: []crank.Step{first, second}}
 	},
