proofs: three tests of the emulator run beside each other

Change: TestSoakOfMixedJobs, TestSilentWorkersLostWithTheLeader and TestRollOutAndBack run in parallel. Their rigs share no ports.

--- a/proofs/cranksoak/plan_test.go
+++ b/proofs/cranksoak/plan_test.go
@@ -13,6 +13,7 @@
 // TestSilentWorkersLostWithTheLeader guards against jobs that stand still for up to
 // twice the longest lease after a new leader took over (issue 35).
 func TestSilentWorkersLostWithTheLeader(t *testing.T) {
+	t.Parallel()
 	site, err := crankfakesite.Read("../../examples/sites/small-hall.ini")
 	if err != nil {
 		t.Fatal(err)
--- a/proofs/cranksoak/soak_test.go
+++ b/proofs/cranksoak/soak_test.go
@@ -41,6 +41,7 @@
 
 // TestSoakOfMixedJobs plays the seed of a site with all kinds of jobs and of unfit workers.
 func TestSoakOfMixedJobs(t *testing.T) {
+	t.Parallel()
 	site, err := crankfakesite.Read("../../examples/sites/mixed-hall.ini")
 	if err != nil {
 		t.Fatal(err)
--- a/proofs/cranksoak/upgrade_test.go
+++ b/proofs/cranksoak/upgrade_test.go
@@ -27,6 +27,7 @@
 // Records of this version's live jobs keep an earlier version from leading. Instances are
 // rolled forward and back, one after the other, while callers submit jobs.
 func TestRollOutAndBack(t *testing.T) {
+	t.Parallel()
 	later := build(t)
 	earlier := build(t, "-ldflags=-X cranberrycrank/internal/crankjobs.latestFormat=1")
 	u := startUpgrade(t, earlier)
