sched: a gang with room for it twice over leaves its rack, whatever else is in use

Which resource counts for "half of the capacity in use" is not said. TestGangWithRoomTwiceOverStartsInABusyService failed before. What stands because of a reservation starts there as well once no new jobs come.

--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -320,6 +320,13 @@
 	return longest
 }
 
+// FitsTwice reports whether there is room for the request twice over, on any racks.
+func (p *Pool) FitsTwice(q Request) bool {
+	q = q.AcrossRacks()
+	q.Tasks *= 2
+	return p.Place(q, FreeCapacity) != nil
+}
+
 // AcrossRacks returns the request for workers of any racks.
 func (q Request) AcrossRacks() Request {
 	q.Step.SameRack, q.Step.DataRack = false, ""
--- a/internal/cranksched/reservation.go
+++ b/internal/cranksched/reservation.go
@@ -56,8 +56,9 @@
 
 // placeOnReserved starts work on reserved capacity that ends before the reservations are
 // expected to begin. That time is an estimate and may be far off, so in idle pools long-running
-// tasks that are overdue start there as well, and one task or gang of each job that stands.
-// Those wait until no new jobs come, so that a gang is overtaken by a limited number.
+// tasks that are overdue start there as well, and one task or gang of each job that stands, also
+// where there is room for it twice over. Those wait until no new jobs come, so that a gang is
+// overtaken by a limited number.
 func (s *Scheduler) placeOnReserved(units []unit, pools map[string]*crankpack.Pool, reservations map[string][]reservation, now time.Time) {
 	if len(reservations) == 0 {
 		return
@@ -73,12 +74,17 @@
 		idle := pool.InUse() < idleShare
 		ends := !u.step.LongRunning && u.step.RunTime > 0 && u.step.RunTime < wait
 		overdue := idle && u.step.LongRunning && waited > longRunningOverdueTime
-		stands := idle && u.job.placed == 0 && min(waited, now.Sub(newest[name])) > reservedStandTime
+		together := u.tasks[:1]
+		if u.step.Gang {
+			together = u.tasks
+		}
+		stands := u.job.placed == 0 && min(waited, now.Sub(newest[name])) > reservedStandTime &&
+			(idle || pool.FitsTwice(u.request(together, now)))
 		switch {
-		case ends, overdue, stands && u.step.Gang:
+		case ends, overdue:
 			s.placeFree(u, u.tasks, pool, idle, now)
 		case stands:
-			s.placeFree(u, u.tasks[:1], pool, idle, now)
+			s.placeFree(u, together, pool, true, now)
 		}
 	}
 }
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -166,13 +166,13 @@
 
 // mayCrossRacks reports whether a gang that fits on no rack now is better placed on several:
 // its guarantee matters more than the time that its tasks lose there, the pool has room for
-// slower tasks, or no rack becomes free by itself. In a pool that is busy, slower tasks would
+// slower tasks, or no rack becomes free by itself. In a pool that is full, slower tasks would
 // take from others what the gang gains.
 func mayCrossRacks(u unit, pool *crankpack.Pool, q crankpack.Request, waited time.Duration) bool {
 	if waited <= crossRackWait {
 		return false
 	}
-	return u.rank == rankGuaranteed || pool.InUse() < idleShare || pool.Place(q, crankpack.EventualCapacity) == nil
+	return u.rank == rankGuaranteed || pool.InUse() < idleShare || pool.FitsTwice(q) || pool.Place(q, crankpack.EventualCapacity) == nil
 }
 
 // placeTasks starts the tasks of a step that fit now. For others it waits for
--- a/proofs/crankentryproof/rack_wait_test.go
+++ b/proofs/crankentryproof/rack_wait_test.go
@@ -96,3 +96,25 @@
 		is.Equal(c.fleet.DoneTasks("job1"), 4)
 	})
 }
+
+// Accelerators were in use for the most part, and the gang needs few of them.
+func TestGangWithRoomTwiceOverStartsInABusyService(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUpRacks(3)
+		accelerated, cores := independentTasks(12, time.Minute), independentTasks(1, time.Minute)
+		accelerated.Demand, accelerated.MaxPerWorker = crank.Demand{MilliCores: 100, MemoryMiB: 100, Accelerators: 6}, 1
+		cores.Demand = crank.Demand{MilliCores: 31000, MemoryMiB: 100}
+		is.NoErr(c.submit("a", "patient", "accelerated", accelerated))
+		for i := range 3 { // one worker of each rack is full
+			one := cores
+			one.DataRack = fmt.Sprintf("r%d", i)
+			is.NoErr(c.submit("a", "patient", fmt.Sprintf("cores%d", i), one))
+		}
+		time.Sleep(time.Second)
+		gang := gangStep(4, 1, 2*time.Second)
+		gang.Demand.MilliCores = 20000
+		is.NoErr(c.submit("a", "patient", "job1", gang))
+		c.awaitPhase("b", "patient", "job1", crank.PhaseCompleted, 5*time.Second)
+	})
+}
--- a/proofs/crankentryproof/reservation_wait_test.go
+++ b/proofs/crankentryproof/reservation_wait_test.go
@@ -123,8 +123,11 @@
 		is.NoErr(c.submit("b", "patient", "short", independentTasks(1, 2*time.Second)))
 		time.Sleep(time.Second)
 		is.True(c.fleet.HasStarted("short"))
-		is.True(!c.fleet.HasStarted("long"))
-		time.Sleep(6 * time.Second)
+		for i := range 6 { // jobs keep coming
+			is.True(!c.fleet.HasStarted("long"))
+			is.NoErr(c.submit("b", "patient", fmt.Sprintf("next%d", i), independentTasks(1, 100*time.Millisecond)))
+			time.Sleep(time.Second)
+		}
 		is.True(c.fleet.HasStarted("gang"))
 	})
 }
