proofs: one end of a gang is that of all members, also for idle services

The protocol says so, and the other meter counts it so; a gang of which one member ended done and the others were stopped would count as standing.

--- a/proofs/crankentryproof/idle_meter_test.go
+++ b/proofs/crankentryproof/idle_meter_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/standin/crankfakefleet"
 )
 
 // idleMeter measures from outside how long accepted jobs stand although they could run.
@@ -42,13 +43,18 @@
 		runs := false
 		for i, st := range spec.Steps {
 			turn := !slices.ContainsFunc(st.After, func(a int) bool { return !noted[a] })
+			states := make([]crankfakefleet.TaskState, st.Tasks)
+			for k := range states {
+				states[k] = m.c.fleet.TaskState(crank.TaskID{Job: id, Step: i, Index: k})
+			}
+			isNoted := func(s crankfakefleet.TaskState) bool { return s.Noted }
+			gangNoted := st.Gang && slices.ContainsFunc(states, isNoted) // one end is that of all members
 			noted[i] = true
-			for k := range st.Tasks {
+			for k, s := range states {
 				t := crank.TaskID{Job: id, Step: i, Index: k}
-				s := m.c.fleet.TaskState(t)
-				noted[i] = noted[i] && s.Noted
+				noted[i] = noted[i] && (s.Noted || gangNoted)
 				runs = runs || s.Worker != ""
-				if s.Worker == "" && !s.Ended && !s.Noted && turn {
+				if s.Worker == "" && !s.Ended && !s.Noted && !gangNoted && turn {
 					due = append(due, t)
 				} else {
 					delete(m.since, t)
