sched: a task that does not fit makes no others overdue

Cause: a long-running step's tasks counted as overdue with the one that waited longest. With one that never fits, all of them came first, took back what a guaranteed gang had preempted from them, and were preempted again in each round.

Change: overdue tasks of a step are placed apart from its others.

Result: TestGuaranteedGangKeepsWhatItPreempted: the gang had not started after 3 s, and there were 34 runs; now it has, with 12.

--- a/internal/cranksched/unit.go
+++ b/internal/cranksched/unit.go
@@ -48,7 +48,9 @@
 		for _, o := range j.open {
 			for i := range j.spec.Steps {
 				if tasks := s.startable(o.waiting(i), storeAway); len(tasks) > 0 && o.ready(i, now) {
-					units = append(units, newUnit(j, tasks, s.guaranteed[j.spec.Workspace], now))
+					for _, some := range byOverdue(tasks, now) {
+						units = append(units, newUnit(j, some, s.guaranteed[j.spec.Workspace], now))
+					}
 				}
 			}
 		}
@@ -65,6 +67,23 @@
 	return units
 }
 
+// byOverdue separates the long-running tasks of a step that are overdue from the others:
+// tasks that were preempted are not overdue because another one does not fit.
+func byOverdue(tasks []*task, now time.Time) [][]*task {
+	if st := tasks[0].step; !st.LongRunning || st.Gang {
+		return [][]*task{tasks}
+	}
+	var overdue, others []*task
+	for _, t := range tasks {
+		if now.Sub(t.waitingSince) > longRunningOverdueTime {
+			overdue = append(overdue, t)
+		} else {
+			others = append(others, t)
+		}
+	}
+	return slices.DeleteFunc([][]*task{overdue, others}, func(some []*task) bool { return len(some) == 0 })
+}
+
 // storeAway reports whether the store has not answered the last write.
 func (s *Scheduler) storeAway(now time.Time) bool {
 	return now.Before(s.retryAt) || (s.writing && now.Sub(s.writeBegun) > storeAwayTime)
