sched: jobs that have ended count among those that keep coming

A job that stands behind a reservation waits until no new jobs come. Jobs that ended at once were not seen, so that it went first all the same. The test of short tasks holds it now, and failed before.

--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -108,6 +108,9 @@
 	}
 	j.countTasks()
 	s.jobs[e.Job.ID] = j
+	if j.firstSeen.After(s.newestJob[j.spec.Pool]) {
+		s.newestJob[j.spec.Pool] = j.firstSeen
+	}
 	if !j.claimed {
 		j.progress.Tracked = j.progress.Tracked || !j.progress.Claimed
 		j.progress.Claimed = true
--- a/internal/cranksched/reservation.go
+++ b/internal/cranksched/reservation.go
@@ -63,7 +63,7 @@
 	if len(reservations) == 0 {
 		return
 	}
-	waits, newest := cancelAll(pools, reservations), s.newestJobs()
+	waits := cancelAll(pools, reservations)
 	for _, u := range units {
 		name := u.job.spec.Pool
 		wait, reserved := waits[name]
@@ -78,7 +78,7 @@
 		if u.step.Gang {
 			together = u.tasks
 		}
-		stands := u.job.placed == 0 && min(waited, now.Sub(newest[name])) > reservedStandTime &&
+		stands := u.job.placed == 0 && min(waited, now.Sub(s.newestJob[name])) > reservedStandTime &&
 			(idle || pool.FitsTwice(u.request(together, now)))
 		switch {
 		case ends, overdue:
@@ -104,17 +104,6 @@
 	return waits
 }
 
-// newestJobs returns when the newest job of each pool was first seen.
-func (s *Scheduler) newestJobs() map[string]time.Time {
-	newest := make(map[string]time.Time)
-	for _, j := range s.jobs {
-		if j.firstSeen.After(newest[j.spec.Pool]) {
-			newest[j.spec.Pool] = j.firstSeen
-		}
-	}
-	return newest
-}
-
 // placeFree starts those of a unit's tasks that fit now.
 func (s *Scheduler) placeFree(u unit, tasks []*task, pool *crankpack.Pool, acrossRacks bool, now time.Time) {
 	together := 1
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -147,9 +147,10 @@
 
 	revision          int64 // of the job state, last applied
 	jobs              map[string]*job
-	workers           map[string]*worker // by worker ID
-	dirty             map[string]*job    // progress to be stored
-	acks              map[*worker]int64  // last ended run to acknowledge after the next write
+	newestJob         map[string]time.Time // when the newest job of a pool was first seen
+	workers           map[string]*worker   // by worker ID
+	dirty             map[string]*job      // progress to be stored
+	acks              map[*worker]int64    // last ended run to acknowledge after the next write
 	roster            roster
 	unaccounted       map[string]time.Time               // incarnations of the inherited roster whose runs are not yet known, and when their leases have expired
 	limits            map[string]crankfleet.FormerLeases // of some of them, that the inherited roster holds
@@ -198,6 +199,7 @@
 		inbox:       make(chan func(), inboxSize),
 		list:        crankfleet.NewList(crankfleet.ListConfig{Decode: c.Decode, Heartbeat: c.Bounds.Heartbeat, Timeline: c.Timeline, Logger: c.Logger}),
 		jobs:        make(map[string]*job),
+		newestJob:   make(map[string]time.Time),
 		workers:     make(map[string]*worker),
 		dirty:       make(map[string]*job),
 		acks:        make(map[*worker]int64),
