sched: a gang is stopped when a member's worker ends before its start

Cause: a member's run whose order had got no answer was released when its worker's incarnation or process ended, or its lease expired, without the rest of its gang. The answer to the order, which would have stopped them, then finds the run gone. The others waited for the gang timeout.

Change: such runs are released like those that a report does not list: the gang is stopped.

--- a/internal/cranksched/gang.go
+++ b/internal/cranksched/gang.go
@@ -12,6 +12,15 @@
 	}
 }
 
+// loseRun releases a run that ended without a result. Members of its gang that have started
+// would wait for one that has not.
+func (s *Scheduler) loseRun(p *placement, why string) {
+	if p.state == stateOrdered {
+		s.abandonGang(p, "a gang member's start had no effect")
+	}
+	s.release(p, why)
+}
+
 // endParts stops the adopted members of gangs that an earlier term started in part. Such a
 // gang begins no work, and its members would wait for the others.
 func (s *Scheduler) endParts() {
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -47,10 +47,7 @@
 	}
 	for id, p := range w.placements {
 		if run, ok := listed[id]; !r.Incomplete && (!ok || run != p.run) && r.ClockMs > p.conclusiveAfter {
-			if p.state == stateOrdered {
-				s.abandonGang(p, "a gang member's start had no effect")
-			}
-			s.release(p, "not listed by its worker")
+			s.loseRun(p, "not listed by its worker")
 		}
 	}
 	if len(r.Ended) > 0 {
@@ -132,7 +129,7 @@
 		"draining", w.entry.Draining, "lost", len(w.placements))
 	s.accountForEnded(w)
 	for _, p := range w.placements {
-		s.release(p, "worker process ended")
+		s.loseRun(p, "worker process ended")
 	}
 }
 
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -211,7 +211,7 @@
 		s.accountForEnded(w)
 	}
 	for _, p := range w.placements {
-		s.release(p, "worker incarnation ended")
+		s.loseRun(p, "worker incarnation ended")
 	}
 	delete(s.acks, w)
 	s.changed = true
@@ -296,7 +296,7 @@
 			s.Scope.Counter("leases_lapsed").Inc(1)
 			s.Logger.Warn("sched: lease expired without an answer", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "lost", len(w.placements))
 			for _, p := range w.placements {
-				s.release(p, "lease expired")
+				s.loseRun(p, "lease expired")
 			}
 		}
 		for _, p := range w.placements {
--- a/proofs/crankentryproof/gang_order_test.go
+++ b/proofs/crankentryproof/gang_order_test.go
@@ -45,6 +45,19 @@
 	return ends
 }
 
+// starts returns the starts.
+func (l *gangLog) starts() []crankfakefleet.Event {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var starts []crankfakefleet.Event
+	for _, e := range l.events {
+		if e.Kind == crankfakefleet.EventStarted {
+			starts = append(starts, e)
+		}
+	}
+	return starts
+}
+
 // awaitStart waits until a member has started.
 func (l *gangLog) awaitStart() {
 	for started := false; !started; time.Sleep(5 * time.Millisecond) {
@@ -186,3 +199,24 @@
 		}
 	})
 }
+
+// The other members of a gang waited for one whose worker had restarted before its start.
+func TestGangIsStoppedWhenAMembersWorkerEndsBeforeItsStart(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(4)
+		time.Sleep(settled)
+		log := c.recordGangs()
+		c.disturbLaterStarts(crankfakefleet.Fault{TransitTime: 500 * time.Millisecond})
+		is.NoErr(c.submit("a", "urgent", "job1", gangStep(4, 8, time.Second)))
+		log.awaitStart()
+		late := workerID(0)
+		if log.starts()[0].Worker == late {
+			late = workerID(1)
+		}
+		c.restart(late)
+		clearWorkerFaults(c)
+		c.awaitPhase("a", "urgent", "job1", crank.PhaseCompleted, 3*time.Second)
+		is.Equal(log.ends(crank.EndGangTimeout), nil)
+	})
+}
