sched: stalled runs quarantine workers within the limit

Cause: the limit on quarantines held only for failed runs. Tasks that make no progress anywhere had each worker they came to quarantined, and their stops count as no failure, so that this goes on.

Change: a stalled run asks for the limit as well.

Result: TestTasksWithoutProgressDoNotQuarantineThePool failed before (a sound job queued after 3 s), passes now.

--- a/internal/cranksched/health.go
+++ b/internal/cranksched/health.go
@@ -15,7 +15,7 @@
 const (
 	quarantineThreshold = 2                       // jobs that fail in a row until the worker is quarantined
 	quarantineTime      = 8 * time.Second         // how long the worker gets no new tasks
-	maxQuarantineShare  = 4                       // at most one of so many workers of a pool or with a label is quarantined for failed runs
+	maxQuarantineShare  = 4                       // at most one of so many workers of a pool or with a label is quarantined
 	stallTimeout        = 2500 * time.Millisecond // a run without progress for longer has stalled
 	stallPercents       = 6                       // or for the estimated time of so many percent, if that is longer
 )
@@ -95,7 +95,9 @@
 	if !p.step.BestEffort {
 		h := s.healthOf(p.worker)
 		h.stalledRuns++
-		s.quarantine(p.worker, "stalled run", h.stalledRuns)
+		if s.mayQuarantine(p.worker) {
+			s.quarantine(p.worker, "stalled run", h.stalledRuns)
+		}
 	}
 	s.Logger.Warn("sched: run stalled", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "percent", p.percent, "since", now.Sub(p.progressedAt))
 	p.task.avoidWorker(p.worker.entry.ID)
--- a/proofs/crankentryproof/quarantine_test.go
+++ b/proofs/crankentryproof/quarantine_test.go
@@ -79,3 +79,19 @@
 		is.True(failed.Load() <= 6) // two jobs, and one more after the quarantine
 	})
 }
+
+// Tasks that make no progress anywhere had all workers quarantined, and sound jobs stood.
+func TestTasksWithoutProgressDoNotQuarantineThePool(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(8)
+		time.Sleep(settled)
+		stuck := true
+		c.fleet.UpdateConfig(func(f *crankfakefleet.Config) { f.Stuck = func(string) bool { return stuck } })
+		is.NoErr(c.submit("a", "patient", "hopeless", onePerWorker(8, 2*time.Second)))
+		time.Sleep(3500 * time.Millisecond)
+		c.fleet.UpdateConfig(func(*crankfakefleet.Config) { stuck = false })
+		is.NoErr(c.submit("a", "patient", "sound", independentTasks(4, time.Second)))
+		c.awaitPhase("a", "patient", "sound", crank.PhaseCompleted, 3*time.Second)
+	})
+}
