sched: a latency task waits until evicted best-effort tasks have ended

Cause: an eviction marked a worker as free of best-effort tasks at once. Later tasks of the same round were started there while those tasks were still being stopped.

Change: until the next round the worker admits latency tasks only for capacity that is not free yet.

Result: TestLatencyTaskWaitsForEvictedTasksToEnd failed before (starts earlier than the stop), passes now.

--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -26,6 +26,7 @@
 	Schedulable    bool           // new tasks may be started
 	HasLatencyTask bool           // runs a task with a latency target
 	HasBestEffort  bool           // runs a best-effort task
+	BestEffortEnds bool           // all of these are being stopped
 	TasksByStep    map[string]int // by Request.StepKey
 	FailureCount   int            // recent failures; workers with fewer are preferred
 
@@ -134,7 +135,8 @@
 // admits reports whether the worker may run tasks of the request, apart from their
 // resource demand.
 func (w *WorkerCapacity) admits(q Request, k CapacityKind) bool {
-	if k != TotalCapacity && (!w.Schedulable || (q.Step.Latency > 0 && w.HasBestEffort) || (q.Step.BestEffort && w.HasLatencyTask)) {
+	hasBestEffort := w.HasBestEffort && (k == FreeCapacity || !w.BestEffortEnds)
+	if k != TotalCapacity && (!w.Schedulable || (q.Step.Latency > 0 && hasBestEffort) || (q.Step.BestEffort && w.HasLatencyTask)) {
 		return false
 	}
 	if q.Step.Label != "" && !slices.Contains(w.Labels, q.Step.Label) {
@@ -180,6 +182,7 @@
 	w.TasksByStep[q.StepKey]++
 	w.HasLatencyTask = w.HasLatencyTask || q.Step.Latency > 0
 	w.HasBestEffort = w.HasBestEffort || q.Step.BestEffort
+	w.BestEffortEnds = w.BestEffortEnds && !q.Step.BestEffort
 }
 
 // AddEnd adds the expected end of a run.
--- a/internal/cranksched/evict.go
+++ b/internal/cranksched/evict.go
@@ -22,7 +22,7 @@
 	pool.ClearUnplaceable()
 	clear(known.victims)
 	for _, c := range chosen {
-		c.Future, c.HasBestEffort = c.Future.Plus(evictions[c.Worker].Freed), false
+		c.Future, c.BestEffortEnds = c.Future.Plus(evictions[c.Worker].Freed), true
 		for _, p := range s.workers[c.Worker].placements {
 			if p.state != stateRunning || p.step == nil || !p.step.BestEffort {
 				continue
--- a/proofs/crankentryproof/exclusion_test.go
+++ b/proofs/crankentryproof/exclusion_test.go
@@ -47,3 +47,29 @@
 		time.Sleep(2 * time.Second)
 	})
 }
+
+// Tasks with a latency target were started beside best-effort tasks that were being stopped.
+func TestLatencyTaskWaitsForEvictedTasksToEnd(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(1)
+		time.Sleep(settled)
+		filler := independentTasks(1, 30*time.Second)
+		filler.BestEffort, filler.Checkpoints = true, true
+		is.NoErr(c.submit("a", "patient", "filler", filler))
+		time.Sleep(time.Second)
+		log := c.recordGangs()
+		serving := independentTasks(3, time.Hour)
+		serving.LongRunning, serving.Latency = true, 50*time.Millisecond
+		is.NoErr(c.submit("a", "patient", "serving", serving))
+		time.Sleep(4 * time.Second)
+		is.True(c.fleet.HasStarted("serving"))
+		stopped := log.ends(crank.EndStopped)
+		is.Equal(len(stopped), 1)
+		for _, e := range log.starts() {
+			is.True(!e.At.Before(stopped[0].At))
+		}
+		is.NoErr(c.cancel("a", "patient", "serving"))
+		c.awaitPhase("a", "patient", "filler", crank.PhaseCompleted, 60*time.Second)
+	})
+}
