pack: workers are sorted only for requests that fit

Cause: requests with a limit per worker are not cached when they fail, and each had all workers sorted, which costs more since racks are filled one after the other.

Change: the room is counted first, and only workers with room are sorted.

--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -351,7 +351,15 @@
 
 // placeBestFit returns a worker for each task, or nil when not all fit.
 func placeBestFit(workers []*WorkerCapacity, q Request, k CapacityKind) []*WorkerCapacity {
-	sorted := slices.Clone(workers)
+	sorted, room := make([]*WorkerCapacity, 0, len(workers)), 0
+	for _, w := range workers {
+		if n := w.fitCount(q, k, crank.Demand{}, q.Tasks); n > 0 {
+			sorted, room = append(sorted, w), room+n
+		}
+	}
+	if room < q.Tasks { // most requests of a busy pool; sorting costs more
+		return nil
+	}
 	if k == EventualCapacity {
 		for _, w := range sorted {
 			w.taskIn = w.freeIn(q.Step.ReservedCapacity())
--- a/internal/cranksched/bench_test.go
+++ b/internal/cranksched/bench_test.go
@@ -73,6 +73,18 @@
 	}
 }
 
+// BenchmarkRoundOfLimitedTasks measures a planning round in which no waiting job fits, and
+// their limits per worker keep failures from being cached.
+func BenchmarkRoundOfLimitedTasks(b *testing.B) {
+	s := fullFleet(0.25)
+	for _, j := range s.jobs {
+		j.spec.Steps[0].MaxPerWorker = 1
+	}
+	for b.Loop() {
+		s.round()
+	}
+}
+
 // invalidTerm keeps a scheduler from sending orders.
 type invalidTerm struct{}
 
