sched: urgent latency steps have best-effort tasks make way, too

Cause: only steps of patient jobs had best-effort tasks evicted. An urgent step looked for work to preempt, which finds none where best-effort tasks exclude it from each worker, however idle these are, and waited without bound.

Change: an overdue long-running step with a latency target for which preemption frees too little has best-effort tasks evicted, whatever its priority.

Result: TestUrgentLatencyStepStartsWhileBestEffortTasksAreEverywhere failed before for both workspaces (not started after 3 s), passes now.

--- a/internal/cranksched/unit.go
+++ b/internal/cranksched/unit.go
@@ -125,6 +125,11 @@
 	return u
 }
 
+// isOverdueLatency reports whether best-effort tasks may make way for the unit.
+func (u unit) isOverdueLatency(now time.Time) bool {
+	return u.step.Latency > 0 && u.step.LongRunning && now.Sub(u.waitingSince) > longRunningOverdueTime
+}
+
 // withinGuarantee returns the workspaces whose priority 0 jobs need at most their
 // guaranteed accelerators.
 func (s *Scheduler) withinGuarantee(now time.Time) map[string]bool {
--- a/internal/cranksched/victim.go
+++ b/internal/cranksched/victim.go
@@ -41,7 +41,8 @@
 // preempt stops the cheapest work that frees enough for a request, and reports
 // whether there was any. A guaranteed unit also preempts urgent work of workspaces
 // beyond their guarantee, but only where lower priorities don't free enough. An overdue
-// long-running unit only has best-effort tasks make way.
+// long-running unit with a latency target has best-effort tasks make way, of patient jobs
+// only these.
 func (s *Scheduler) preempt(u unit, pool *crankpack.Pool, q crankpack.Request, known *preemptions) bool {
 	if u.rank == rankOverdueLongRunning {
 		return s.evict(u, pool, q, known)
@@ -53,7 +54,7 @@
 		chosen, runs = s.chooseVictims(u, pool, q, known, scope)
 	}
 	if chosen == nil {
-		return false
+		return u.isOverdueLatency(time.Now()) && s.evict(u, pool, q, known)
 	}
 	workers := make(map[string]*crankpack.WorkerCapacity, len(pool.Workers))
 	for _, c := range pool.Workers {
--- a/proofs/crankentryproof/exclusion_test.go
+++ b/proofs/crankentryproof/exclusion_test.go
@@ -73,3 +73,31 @@
 		c.awaitPhase("a", "patient", "filler", crank.PhaseCompleted, 60*time.Second)
 	})
 }
+
+// An urgent step with a latency target had no best-effort tasks make way, unlike a patient one.
+func TestUrgentLatencyStepStartsWhileBestEffortTasksAreEverywhere(t *testing.T) {
+	for _, workspace := range []string{"guaranteed", "beyond"} {
+		t.Run(workspace, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.setUp(4)
+				time.Sleep(settled)
+				filler := independentTasks(4, 30*time.Second)
+				filler.BestEffort, filler.MaxPerWorker, filler.Checkpoints = true, 1, true
+				is.NoErr(c.submit("a", "patient", "filler", filler))
+				time.Sleep(time.Second)
+				serving := independentTasks(2, time.Hour)
+				serving.LongRunning, serving.Latency = true, 50*time.Millisecond
+				if workspace == "beyond" {
+					serving.Tasks = 33 // more than is guaranteed
+					serving.Demand = crank.Demand{MilliCores: 500, MemoryMiB: 100, Accelerators: 1}
+				}
+				is.NoErr(c.submit("a", "urgent", "serving", serving))
+				time.Sleep(3 * time.Second)
+				is.True(c.fleet.HasStarted("serving"))
+				is.NoErr(c.cancel("a", "urgent", "serving"))
+				c.awaitPhase("a", "patient", "filler", crank.PhaseCompleted, 60*time.Second)
+			})
+		})
+	}
+}
