--- a/internal/cranksched/health.go
+++ b/internal/cranksched/health.go
@@ -56,20 +56,20 @@
 // mayQuarantine reports whether enough workers stay in use beside those in quarantine, of
 // the pool and of those that share a label with the worker.
 func (s *Scheduler) mayQuarantine(w *worker) bool {
-	const pool = "" // no label
+	const anyLabel = ""
 	all, quarantined, now := make(map[string]int), make(map[string]int), time.Now()
 	for _, other := range s.workers {
 		if other.ended || other.entry.Pool != w.entry.Pool {
 			continue
 		}
-		for _, label := range append([]string{pool}, other.entry.Labels...) {
+		for _, label := range append([]string{anyLabel}, other.entry.Labels...) {
 			all[label]++
 			if other != w && now.Before(other.quarantinedUntil) {
 				quarantined[label]++
 			}
 		}
 	}
-	for _, label := range append([]string{pool}, w.entry.Labels...) {
+	for _, label := range append([]string{anyLabel}, w.entry.Labels...) {
 		if quarantined[label] >= max(1, all[label]/maxQuarantineShare) {
 			return false
 		}
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -121,7 +121,7 @@
 	return c
 }
 
-// timeLeft returns when a run is expected to end, 0 if it runs until its job is cancelled.
+// timeLeft returns how long a run is expected to take yet, 0 if it runs until its job is cancelled.
 func (p *placement) timeLeft() time.Duration {
 	if p.step == nil || p.step.LongRunning {
 		return 0
--- a/internal/cranksched/standing.go
+++ b/internal/cranksched/standing.go
@@ -93,6 +93,11 @@
 	return st, true
 }
 
+// storeAway reports whether the store has not answered the last write.
+func (s *Scheduler) storeAway(now time.Time) bool {
+	return now.Before(s.retryAt) || (s.writing && now.Sub(s.writeBegun) > storeAwayTime)
+}
+
 // heldUntil returns the incarnation not accounted for at which a task may run and whose
 // lease may last longest, and until when it may.
 func (s *Scheduler) heldUntil(t *task) (incarnation string, until time.Time) {
--- a/internal/cranksched/unit.go
+++ b/internal/cranksched/unit.go
@@ -39,7 +39,7 @@
 func (s *Scheduler) waitingUnits(now time.Time) []unit {
 	s.openDue(now)
 	s.guaranteed = s.withinGuarantee(now)
-	storeAway := s.writeOverdue(now)
+	overdue := s.writeOverdue(now)
 	var units []unit
 	for _, j := range s.jobs {
 		if j.ending() {
@@ -47,7 +47,7 @@
 		}
 		for _, o := range j.open {
 			for i := range j.spec.Steps {
-				if tasks := s.startable(o.waiting(i), storeAway); len(tasks) > 0 && o.ready(i, now) {
+				if tasks := s.startable(o.waiting(i), overdue); len(tasks) > 0 && o.ready(i, now) {
 					for _, some := range byOverdue(tasks, now) {
 						units = append(units, newUnit(j, some, s.guaranteed[j.spec.Workspace], now))
 					}
@@ -84,20 +84,15 @@
 	return slices.DeleteFunc([][]*task{overdue, others}, func(some []*task) bool { return len(some) == 0 })
 }
 
-// storeAway reports whether the store has not answered the last write.
-func (s *Scheduler) storeAway(now time.Time) bool {
-	return now.Before(s.retryAt) || (s.writing && now.Sub(s.writeBegun) > storeAwayTime)
-}
-
 // startable returns the waiting tasks of a step that may be started now: those that
-// can't be running at a worker not accounted for and, while the store is away, only those
+// can't be running at a worker not accounted for and, while a write is overdue, only those
 // whose start it has allowed at any worker. A gang is started whole.
-func (s *Scheduler) startable(waiting []*task, storeAway bool) []*task {
-	if len(waiting) == 0 || (len(s.unaccounted) == 0 && !storeAway) {
+func (s *Scheduler) startable(waiting []*task, writeOverdue bool) []*task {
+	if len(waiting) == 0 || (len(s.unaccounted) == 0 && !writeOverdue) {
 		return waiting
 	}
 	gang, all := waiting[0].step.Gang, len(waiting)
-	tasks := slices.DeleteFunc(waiting, func(t *task) bool { return s.isHeld(t) || (storeAway && !(t.mayRun && t.recorded == 0)) })
+	tasks := slices.DeleteFunc(waiting, func(t *task) bool { return s.isHeld(t) || (writeOverdue && !(t.mayRun && t.recorded == 0)) })
 	if gang && len(tasks) < all {
 		return nil
 	}
