sched: released runs are logged with the state of their worker

Change: each line of a released run has the run's state, the incarnation, failed renewals, whether it is listed and what is left of its lease; a worker that can't be reached is logged with its address and the kind of the error. Result: tests pass; no behaviour changes.

--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -109,7 +109,8 @@
 		return
 	}
 	if w.failedRenewals == 0 && w.answered {
-		s.Logger.Warn("sched: worker unreachable", "worker", w.entry.ID, "running", len(w.placements), "error", err)
+		s.Logger.Warn("sched: worker unreachable", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "addr", w.entry.Addr, "running", len(w.placements),
+			"kind", crank.KindOf(err), "error", err)
 	}
 	if w.failedRenewals == 0 {
 		w.silentSince = time.Now()
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -345,7 +345,9 @@
 	}
 	p.task.job.placed--
 	if why != "" {
-		s.Logger.Info("sched: run released", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "why", why)
+		w, now := p.worker, time.Now()
+		s.Logger.Info("sched: run released", "task", p.id, "run", p.run, "worker", w.entry.ID, "born", w.entry.StartTimeMs, "state", p.state, "why", why,
+			"failed-holds", w.failedRenewals, "listed", w.unlistedSince.IsZero(), "lease-left", s.leaseLeft(w, now).Round(time.Millisecond))
 	}
 	if p.state == statePlanned {
 		s.abandonGang(p, why)
