sched: an incarnation is over once a later one of its worker is known

Change: an entry or an answer of a later incarnation accounts for those before it, and for no later ones.

--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -67,20 +67,15 @@
 }
 
 // accountFor handles the first complete report of an incarnation. The worker refuses the
-// orders of earlier terms by now, and the report shows what their orders started, also
-// those sent to its former incarnations.
+// orders of earlier terms by now, and the report shows what their orders started.
 func (s *Scheduler) accountFor(w *worker) {
 	s.markAccounted(w.incarnation)
-	for _, former := range s.roster.formerOf(w) {
-		s.markAccounted(former)
-		s.roster.remove(former)
-	}
+	s.accountForFormer(w)
 }
 
-// accountForEnded handles the end of an incarnation, which shows that those before it have
-// ended too.
-func (s *Scheduler) accountForEnded(w *worker) {
-	s.markAccounted(w.incarnation)
+// accountForFormer accounts for the incarnations of a worker before one that is known to
+// have begun. No order for them takes effect at that one.
+func (s *Scheduler) accountForFormer(w *worker) {
 	for _, former := range s.roster.formerOf(w) {
 		if _, started, _ := crankfleet.ParseIncarnation(former); started < w.entry.StartTimeMs {
 			s.markAccounted(former)
@@ -97,7 +92,7 @@
 		w.refusals = 0
 	}
 	if ended, restarted := hasEnded(err); ended {
-		s.endIncarnation(w, err.Error(), restarted)
+		s.endIncarnation(w, err.Error())
 		if restarted && startTimeMs > w.entry.StartTimeMs {
 			s.askNext(w, startTimeMs)
 		}
@@ -128,7 +123,8 @@
 func (s *Scheduler) handleProcessEnd(w *worker) {
 	s.Logger.Info("sched: worker process ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "listed", w.unlistedSince.IsZero(),
 		"draining", w.entry.Draining, "lost", len(w.placements))
-	s.accountForEnded(w)
+	s.markAccounted(w.incarnation)
+	s.accountForFormer(w)
 	for _, p := range w.placements {
 		s.loseRun(p, "worker process ended")
 	}
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -76,7 +76,7 @@
 		}
 		if known && w.entry.StartTimeMs != e.StartTimeMs {
 			if !w.ended {
-				s.endIncarnation(w, "a newer incarnation is listed", true)
+				s.endIncarnation(w, "a newer incarnation is listed")
 			}
 			known = false
 		}
@@ -107,9 +107,9 @@
 		switch {
 		case w.ended:
 		case w.failedRenewals > 0 && s.list.HasLeft(id, w.entry.StartTimeMs):
-			s.endIncarnation(w, "it has left", false)
+			s.endIncarnation(w, "it has left")
 		case w.failedRenewals > 0 && now.Sub(w.unlistedSince) > unlistedGrace && (w.refusals >= minRefusals || s.leaseExpired(w, now)):
-			s.endIncarnation(w, "no longer listed", false)
+			s.endIncarnation(w, "no longer listed")
 		}
 		if w.ended {
 			delete(s.workers, id)
@@ -190,6 +190,7 @@
 		OnRenew:  func(r crankfleet.RenewResult) { s.post(func() { s.handleReport(w, r) }) },
 	})
 	s.workers[e.ID] = w
+	s.accountForFormer(w)
 	if s.roster.limited[w.incarnation] {
 		w.endingStored = true
 	}
@@ -199,17 +200,14 @@
 	go w.keeper.Run(ctx)
 }
 
-// endIncarnation releases all runs of an incarnation that has ended. If the worker has
-// started again, it is accounted for once its next incarnation has reported: instances of
-// earlier versions did not bind their orders to an incarnation.
-func (s *Scheduler) endIncarnation(w *worker, reason string, restarted bool) {
+// endIncarnation releases all runs of an incarnation that has ended.
+func (s *Scheduler) endIncarnation(w *worker, reason string) {
 	w.stop()
 	w.ended = true
 	s.Logger.Info("sched: worker incarnation ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "reason", reason, "lost", len(w.placements),
 		"listed", w.unlistedSince.IsZero(), "draining", w.entry.Draining, "answered", w.answered, "failed-holds", w.failedRenewals, "lease-left", s.leaseLeft(w, time.Now()).Round(time.Millisecond))
-	if !restarted {
-		s.accountForEnded(w)
-	}
+	s.markAccounted(w.incarnation)
+	s.accountForFormer(w)
 	for _, p := range w.placements {
 		s.loseRun(p, "worker incarnation ended")
 	}
