sched: a refused connection frees no run

Cause: two refused connections in a row counted as the end of a worker's process, and its runs were started elsewhere at once, listed or not, also those that a term had inherited. But a refusal speaks of the path and the address: a host that rejects, a listener that was closed. The worker works on under its lease.

Change: refusals are like any other missing answer: the runs are free once the lease is over. A refused start order, of which no try was without an answer, has still not run.

Tests: four rested on the refusal as a quick end of a worker. A gang that moves in part and the roster's expired incarnation have the worker restart instead, which is evidence, with the same bounds. TestWorkerLostWithTheLeaderHoldsUpOnlyItsOwnTasks has the worker leave in order, or restart and end, with the bound of before, and has a new case in which it refuses, with the bound of a lease. TestWorkerThatRestartedAndLeftHoldsUpNoTask is as before.

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -263,7 +263,7 @@
 	case err == nil:
 		why = "refused: " + string(reply.Refusal)
 	case kind == crank.KindRefused:
-		why = "no process listens at the worker's address"
+		why = "the connection was refused"
 	case kind == crank.KindUnavailable:
 		why = "the worker is unhealthy"
 		p.worker.quarantinedUntil = time.Now().Add(time.Second)
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -21,7 +21,7 @@
 		s.Logger.Info("sched: worker reachable again", "worker", w.entry.ID, "failed-holds", w.failedRenewals)
 		s.changed = true
 	}
-	w.failedRenewals, w.refusals = 0, 0
+	w.failedRenewals = 0
 	s.dateFormer(crank.WorkerClock{Incarnation: w.incarnation, Ms: r.ClockMs}, r.Received)
 	s.checkReadable(w, r)
 	s.resumeExtending(w)
@@ -87,10 +87,6 @@
 // handleRenewError handles a failed renewal. The start time is that of the incarnation
 // that answered, or 0.
 func (s *Scheduler) handleRenewError(w *worker, startTimeMs int64, err error) {
-	w.refusals++
-	if crank.KindOf(err) != crank.KindRefused {
-		w.refusals = 0
-	}
 	if ended, restarted := hasEnded(err); ended {
 		s.endIncarnation(w, err.Error())
 		if restarted && startTimeMs > w.entry.StartTimeMs {
@@ -114,20 +110,6 @@
 	if w.failedRenewals == crankfleet.SilentRenewals {
 		s.stopExtending(w)
 	}
-	if w.refusals >= minRefusals && (w.refusals == minRefusals || len(w.placements) > 0) {
-		s.handleProcessEnd(w)
-	}
-}
-
-// handleProcessEnd releases the runs of a worker at whose address no process listens.
-func (s *Scheduler) handleProcessEnd(w *worker) {
-	s.Logger.Info("sched: worker process ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "listed", w.unlistedSince.IsZero(),
-		"draining", w.entry.Draining, "lost", len(w.placements))
-	s.markAccounted(w.incarnation)
-	s.accountForFormer(w)
-	for _, p := range w.placements {
-		s.loseRun(p, "worker process ended")
-	}
 }
 
 // handleEndedRun releases a run that ended and records its result. For a run older
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -123,7 +123,6 @@
 	maxStoreAwayTime  = 2 * time.Second         // but no sooner than twice the usual time of a write, at most this
 	historyTime       = 8 * time.Second         // of the worker list, that a new planner reads
 	historyReadTime   = 3 * time.Second         // longest time of reading it
-	minRefusals       = 2                       // refused connections in a row that show that a worker has ended
 	syncPeriod        = 200 * time.Millisecond  // between checks for workers that left the list
 	sweepPeriod       = 5 * time.Second         // between removals of old records
 	storedLeaseMargin = 300 * time.Millisecond  // added to what a record says is left of a lease
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -21,7 +21,6 @@
 	unreadable       bool      // its last report had rows that can't be read
 	failedRenewals   int       // since the last answer
 	silentSince      time.Time // of the first of them
-	refusals         int       // in a row, of connections to its address
 	ending           bool      // its lease is not extended
 	endingStored     bool      // a roster that says so may be stored
 	ended            bool      // nothing runs there
@@ -108,7 +107,7 @@
 		case w.ended:
 		case w.failedRenewals > 0 && s.list.HasLeft(id, w.entry.StartTimeMs):
 			s.endIncarnation(w, "it has left")
-		case w.failedRenewals > 0 && now.Sub(w.unlistedSince) > unlistedGrace && (w.refusals >= minRefusals || s.leaseExpired(w, now)):
+		case w.failedRenewals > 0 && now.Sub(w.unlistedSince) > unlistedGrace && s.leaseExpired(w, now):
 			s.endIncarnation(w, "no longer listed")
 		}
 		if w.ended {
