sched: the limit of a lease is stored with readings of clocks

Cause: a roster that limits a lease carries readings of workers' clocks, which tell a later term how old it is. The workers were chosen once a second only, so that a limit stored in the first second of a term had none. An instance that had just started then counted it from its start on. It happens where a worker fails at once, by refusing or by an answer of another, rather than after a time-out. Change: the workers are chosen as the record is made.

--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -104,6 +104,7 @@
 		roster := s.roster.record(s.Term, most)
 		roster.LeaseLeft = left
 		if len(left) > 0 {
+			s.chooseClocks()
 			roster.Clocks = s.readClocks()
 		}
 		r, err := crankjobs.RosterRecord(roster)
--- a/proofs/crankentryproof/lease_record_test.go
+++ b/proofs/crankentryproof/lease_record_test.go
@@ -1,9 +1,14 @@
 package crankentryproof
 
 import (
+	"encoding/json"
 	"testing"
 	"time"
 
+	crank "cranberrycrank"
+	"cranberrycrank/internal/crankjobs"
+	"cranberrycrank/standin/crankfakefleet"
+
 	"github.com/matryer/is"
 )
 
@@ -53,3 +58,28 @@
 		})
 	}
 }
+
+// A limit that was stored in the first second of a term had no readings of clocks, so that an
+// instance that had just started counted it anew when it led.
+func TestLeaseLimitStoredEarlyInATermIsDated(t *testing.T) {
+	const worker = "w03"
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(4)
+		time.Sleep(settled)
+		c.disturb(worker, crankfakefleet.Fault{NoListener: true}, false)
+		term := c.termNumber()
+		c.kill(c.leader())
+		c.awaitTermAfter(term)
+		time.Sleep(700 * time.Millisecond)
+		var roster crankjobs.Roster
+		for _, r := range c.store.Newest(crank.JobTopic) {
+			if r.Key == "roster" {
+				is.NoErr(json.Unmarshal(r.Value, &roster))
+			}
+		}
+		is.Equal(roster.Term, c.termNumber())
+		is.Equal(len(roster.LeaseLeft), 1)
+		is.True(len(roster.Clocks) > 0)
+	})
+}
