sched: the answer of another worker at an address frees no run

Cause: status 421 (another worker has the address) counted as the end of the incarnation that was called, and its runs were started elsewhere. It shows who has the address now. The incarnation may live at another one, and the client keeps the address that it began with. Change: it counts as a missing answer; the lease decides.

Workers that restart with a new ID at their address answer so.

--- a/internal/crankfleet/keeper.go
+++ b/internal/crankfleet/keeper.go
@@ -168,7 +168,7 @@
 		}
 		k.OnRenew(r)
 		switch {
-		case r.Err != nil && (crank.KindOf(r.Err) == crank.KindNotFound || crank.KindOf(r.Err) == crank.KindConflict):
+		case r.Err != nil && crank.KindOf(r.Err) == crank.KindConflict:
 			return
 		case r.Err != nil:
 			failures++
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -87,9 +87,9 @@
 // handleRenewError handles a failed renewal. The start time is that of the incarnation
 // that answered, or 0.
 func (s *Scheduler) handleRenewError(w *worker, startTimeMs int64, err error) {
-	if ended, restarted := hasEnded(err); ended {
+	if hasRestarted(err) {
 		s.endIncarnation(w, err.Error())
-		if restarted && startTimeMs > w.entry.StartTimeMs {
+		if startTimeMs > w.entry.StartTimeMs {
 			s.askNext(w, startTimeMs)
 		}
 		return
@@ -282,9 +282,7 @@
 	return e.Job.Steps[id.Step].ReservedCapacity()
 }
 
-// hasEnded reports whether an error of a renewal shows that the incarnation has ended,
-// and whether the worker has started again under its ID.
-func hasEnded(err error) (ended, restarted bool) {
-	kind := crank.KindOf(err)
-	return kind == crank.KindNotFound || kind == crank.KindConflict, kind == crank.KindConflict
-}
+// hasRestarted reports whether an error of a renewal shows that a later incarnation of the
+// worker has begun. That another worker has its address does not: the incarnation may live
+// at another one.
+func hasRestarted(err error) bool { return crank.KindOf(err) == crank.KindConflict }
