sched: an order without an answer keeps its capacity, whoever answers its repetition

Cause: a start order that got no answer was sent once more; if another worker (421) or another incarnation answered then, the run was released and started elsewhere, though the first try may have taken effect. Change: whether an earlier try got no answer is asked first. Result: TestLostStartMayHaveRunWhenRetryIsRefused/misdirected passes; before, its task had three runs at a time beside the first.

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -252,8 +252,6 @@
 	case err == nil && reply.Refusal == crank.RefusalFence:
 		s.Leadership.Resign("worker " + p.worker.entry.ID + " has seen a higher fence")
 		why = "the fence was refused"
-	case kind == crank.KindNotFound || kind == crank.KindConflict:
-		why = "the worker's life is over"
 	case uncertain:
 		s.Logger.Warn("sched: start without an answer", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "until", p.conclusiveAfter, "last-refusal", reply.Refusal, "error", err)
 		if p.state == stateOrdered && p.step.Gang {
@@ -262,6 +260,8 @@
 		return
 	case err == nil:
 		why = "refused: " + string(reply.Refusal)
+	case kind == crank.KindNotFound || kind == crank.KindConflict:
+		why = "another worker or incarnation has answered"
 	case kind == crank.KindRefused:
 		why = "the connection was refused"
 	case kind == crank.KindUnavailable:
