sched: the answer of an earlier incarnation frees no run

Cause: any other start time in an answer counted as a restart, and the runs were started elsewhere. An earlier one can't come from a restart, unless the worker's time of day was set back. Change: only a later start time ends an incarnation. One that does not answer is given up once its lease is over and an earlier start time is listed, so that a worker whose time was set back is used again; it is taken out of the roster then.

--- a/internal/crankfleet/keeper.go
+++ b/internal/crankfleet/keeper.go
@@ -146,7 +146,7 @@
 	return k.leaseExpiry
 }
 
-// Run renews the lease until the context or the incarnation ends.
+// Run renews the lease until the context ends.
 func (k *LeaseKeeper) Run(ctx context.Context) {
 	failures := 0
 	wait := time.Duration(0)
@@ -168,8 +168,6 @@
 		}
 		k.OnRenew(r)
 		switch {
-		case r.Err != nil && crank.KindOf(r.Err) == crank.KindConflict:
-			return
 		case r.Err != nil:
 			failures++
 			wait = 0
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -87,11 +87,9 @@
 // handleRenewError handles a failed renewal. The start time is that of the incarnation
 // that answered, or 0.
 func (s *Scheduler) handleRenewError(w *worker, startTimeMs int64, err error) {
-	if hasRestarted(err) {
+	if w.hasRestarted(startTimeMs, err) {
 		s.endIncarnation(w, err.Error())
-		if startTimeMs > w.entry.StartTimeMs {
-			s.askNext(w, startTimeMs)
-		}
+		s.askNext(w, startTimeMs)
 		return
 	}
 	switch crank.KindOf(err) {
@@ -282,7 +280,9 @@
 	return e.Job.Steps[id.Step].ReservedCapacity()
 }
 
-// hasRestarted reports whether an error of a renewal shows that a later incarnation of the
-// worker has begun. That another worker has its address does not: the incarnation may live
-// at another one.
-func hasRestarted(err error) bool { return crank.KindOf(err) == crank.KindConflict }
+// hasRestarted reports whether a failed renewal shows that a later incarnation of the worker
+// has begun. That another worker has its address does not: the incarnation may live at
+// another one.
+func (w *worker) hasRestarted(startTimeMs int64, err error) bool {
+	return crank.KindOf(err) == crank.KindConflict && startTimeMs > w.entry.StartTimeMs
+}
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -70,15 +70,16 @@
 	entries := s.list.Entries()
 	for id, e := range entries {
 		w, known := s.workers[id]
-		if known && !w.ended && e.StartTimeMs < w.entry.StartTimeMs {
+		switch {
+		case !known || w.ended || e.StartTimeMs == w.entry.StartTimeMs:
+		case e.StartTimeMs > w.entry.StartTimeMs:
+			s.endIncarnation(w, "a newer incarnation is listed")
+		case w.failedRenewals > 0 && s.leaseExpired(w, now):
+			s.endIncarnation(w, "its lease is over, an earlier start time is listed")
+		default:
 			continue // see askNext
 		}
-		if known && w.entry.StartTimeMs != e.StartTimeMs {
-			if !w.ended {
-				s.endIncarnation(w, "a newer incarnation is listed")
-			}
-			known = false
-		}
+		known = known && e.StartTimeMs == w.entry.StartTimeMs
 		if !known {
 			s.addWorker(e)
 			continue
@@ -112,9 +113,6 @@
 		}
 		if w.ended {
 			delete(s.workers, id)
-			if _, ok := s.unaccounted[w.incarnation]; !ok {
-				s.roster.remove(w.incarnation)
-			}
 		}
 	}
 }
@@ -206,6 +204,7 @@
 	s.Logger.Info("sched: worker incarnation ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "reason", reason, "lost", len(w.placements),
 		"listed", w.unlistedSince.IsZero(), "draining", w.entry.Draining, "answered", w.answered, "failed-holds", w.failedRenewals, "lease-left", s.leaseLeft(w, time.Now()).Round(time.Millisecond))
 	s.markAccounted(w.incarnation)
+	s.roster.remove(w.incarnation)
 	s.accountForFormer(w)
 	for _, p := range w.placements {
 		s.loseRun(p, "worker incarnation ended")
--- a/lease.go
+++ b/lease.go
@@ -109,9 +109,8 @@
 // token for all of its tasks. Errors of KindUnavailable and KindRefused mean that the call
 // had no effect, the latter since the connection was refused, and KindNotFound that it had
 // none since another worker has the address. They say nothing of what runs at the worker, and
-// nothing of earlier tries of the call. KindConflict means that this incarnation has ended and
-// the next one under the same ID has answered. After others the order may take effect, even
-// seconds later.
+// nothing of earlier tries of the call. KindConflict means that another incarnation under the
+// same ID has answered. After others the order may take effect, even seconds later.
 //
 // Start takes effect at this incarnation or nowhere. Stop and Renew may take effect at a
 // later one under the same ID; the report of a renewal then shows its start time beside
--- a/proofs/crankentryproof/worker_restart_test.go
+++ b/proofs/crankentryproof/worker_restart_test.go
@@ -12,11 +12,14 @@
 )
 
 // restart starts a new incarnation of a worker under its ID.
-func (c *cluster) restart(id string) {
+func (c *cluster) restart(id string) { c.restartAt(id, time.Now()) }
+
+// restartAt is restart for a worker whose time of day is at now.
+func (c *cluster) restartAt(id string, now time.Time) {
 	var e crank.WorkerEntry
 	c.update(func() { e = c.workerEntries[id] })
 	e.Draining = false
-	e = c.fleet.Add(e)
+	e = c.fleet.AddAt(e, now)
 	c.update(func() {
 		c.workerEntries[id] = e
 		delete(c.down, id)
@@ -171,3 +174,41 @@
 		})
 	}
 }
+
+// A worker that started again with its time of day set back must be used again, and must not
+// hold up its former tasks for longer than a lease.
+func TestWorkerThatRestartsWithAnEarlierStartTimeIsUsed(t *testing.T) {
+	for _, v := range []struct {
+		name string
+		lose func(c *cluster)
+	}{
+		{"leader_stays", func(*cluster) {}},
+		{"leader_killed", func(c *cluster) { c.kill(c.leader()) }},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.setUp(4)
+				time.Sleep(settled)
+				log := c.recordStarts()
+				is.NoErr(c.submit("a", "patient", "job1", independentTasks(32, 20*time.Second))) // fills all workers
+				time.Sleep(time.Second)
+				const worker = "w02"
+				c.losePower(worker)
+				c.restartAt(worker, time.Now().Add(-time.Minute))
+				v.lose(c)
+				time.Sleep(lostWorkerLimit)
+				is.Equal(c.fleet.Runs(), 40)                  // its 8 tasks run again
+				is.Equal(len(log.tasksAt("job1", worker)), 8) // there
+				c.ensureAllRunning()
+				c.awaitPhase("a", "patient", "job1", crank.PhaseCompleted, 40*time.Second)
+				term := c.termNumber()
+				c.kill(c.leader())
+				c.awaitTermAfter(term)
+				is.NoErr(c.submit(c.notLeader(), "patient", "job2", independentTasks(32, time.Second)))
+				time.Sleep(3 * time.Second)
+				is.Equal(len(log.tasksAt("job2", worker)), 8)
+			})
+		})
+	}
+}
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -108,13 +108,16 @@
 
 // Add starts a worker and returns its entry with the start time. A worker with the
 // same ID crashes and is replaced by a new incarnation.
-func (f *Fleet) Add(e crank.WorkerEntry) crank.WorkerEntry {
+func (f *Fleet) Add(e crank.WorkerEntry) crank.WorkerEntry { return f.AddAt(e, time.Now()) }
+
+// AddAt is Add for a worker whose time of day is at now.
+func (f *Fleet) AddAt(e crank.WorkerEntry, now time.Time) crank.WorkerEntry {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if old := f.workers[e.ID]; old != nil {
 		old.crash()
 	}
-	e.StartTimeMs = time.Now().UnixMilli()
+	e.StartTimeMs = now.UnixMilli()
 	f.workers[e.ID] = &worker{
 		fleet: f, entry: e, startedAt: time.Now(), up: true, runs: make(map[crank.TaskID]*run),
 		maxRefusedRun: make(map[crank.TaskID]int64), endedBeforeExpiry: make(map[int64]bool), changed: make(chan struct{}),
