A proxy's status is no refusal by the peer

Cause: Twirp turns a plain 502, 503 or 504 into its code unavailable, which the clients of the log, the store and the leader took for 'certainly not done'. A proxy sends these also when its connection to the peer broke after the request was passed on. A caller could be told 'not run' of a job that was stored, and the writer of serve reuses the sequence number of a batch that counts as not appended. Change: only an error that the peer itself sent as an RPC error, or a connection that was not made, is KindUnavailable.

--- a/internal/crankpeer/client.go
+++ b/internal/crankpeer/client.go
@@ -121,7 +121,12 @@
 
 func (c *Client) callError(op string, err error) *crank.Error { return newCallError(op, c.http, err) }
 
-// newCallError classifies the failure of a call. One that the peer rejected as
+// intermediaryMeta marks errors that Twirp made of an HTTP status without an RPC error. It
+// calls 502, 503 and 504 unavailable, but they come from a proxy that may have passed the
+// call on.
+const intermediaryMeta = "http_error_from_intermediary"
+
+// newCallError classifies the failure of a call. One that the peer itself rejected as
 // unavailable, or whose connection was not established, had no effect:
 // KindUnavailable. Any other is KindUnknown, and idle connections are closed because
 // they may be dead.
@@ -129,7 +134,8 @@
 	var twirpErr twirp.Error
 	var opErr *net.OpError
 	kind := crank.KindUnknown
-	if (errors.As(err, &twirpErr) && twirpErr.Code() == twirp.Unavailable) || (errors.As(err, &opErr) && opErr.Op == "dial") {
+	refused := errors.As(err, &twirpErr) && twirpErr.Code() == twirp.Unavailable && twirpErr.Meta(intermediaryMeta) == ""
+	if refused || (errors.As(err, &opErr) && opErr.Op == "dial") {
 		kind = crank.KindUnavailable
 	}
 	if kind == crank.KindUnknown {
--- /dev/null
+++ b/internal/crankpeer/client_test.go
@@ -0,0 +1,55 @@
+package crankpeer
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	crank "cranberrycrank"
+
+	"github.com/matryer/is"
+)
+
+// changes returns the kinds of the errors of all calls that store something, made at an
+// address.
+func changes(t *testing.T, addr string) map[string]crank.Kind {
+	t.Helper()
+	kinds := make(map[string]crank.Kind)
+	note := func(call string, err error) {
+		kinds[call] = ""
+		if err != nil {
+			kinds[call] = crank.KindOf(err)
+		}
+	}
+	_, err := NewDialer("key").Peer(addr).Append(t.Context(), crank.EventStream, []byte("x"))
+	note("log append", err)
+	_, err = NewStoreDialer().StorePeer(addr, "key").Append(t.Context(), crank.StoreAppend{Topic: crank.JobTopic})
+	note("store append", err)
+	note("submission", NewLeaderDialer().Leader(addr, "key").Submit(t.Context(), crank.StepJob{ID: "job1"}))
+	return kinds
+}
+
+var allUnknown = map[string]crank.Kind{"log append": crank.KindUnknown, "store append": crank.KindUnknown, "submission": crank.KindUnknown}
+
+// A proxy whose connection to the peer broke after the request was taken for a peer that
+// had refused it.
+func TestStatusOfAProxyIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusFound} {
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			rw.WriteHeader(status)
+			_, _ = rw.Write([]byte("upstream connect error")) // the caller may have gone
+		}))
+		is.Equal(changes(t, strings.TrimPrefix(server.URL, "http://")), allUnknown)
+		server.Close()
+	}
+}
+
+// A request that a peer took may be carried out although its connection breaks.
+func TestConnectionThatBreaksIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+	is.Equal(changes(t, strings.TrimPrefix(server.URL, "http://")), allUnknown)
+}
