The answer of another program stores nothing

Cause: the reply to a submission that was stored has no fields, so it is an empty message, and the RPC client does not look at the type of an answer. Any program that had the address of an instance and answered 200 without a body was taken for a leader that stored the job, for a store that took an append and for a peer with an empty status: an accepted job would have been nowhere. Change: the clients of peers fail with KindUnknown unless the answer has the type that RPC servers set. Measured: TestAnswerOfAnotherProgramStoresNothing failed before: no error from any of the three calls.

--- a/internal/crankpeer/client.go
+++ b/internal/crankpeer/client.go
@@ -50,17 +50,26 @@
 	return &http.Client{Transport: &keyTransport{key: key, next: &http.Transport{MaxIdleConnsPerHost: maxIdlePerPeer, DialContext: dialer.DialContext}}}
 }
 
-// keyTransport adds the peer key to every call.
+// keyTransport adds the peer key to every call and checks the type of its answer.
 type keyTransport struct {
 	key  string
 	next *http.Transport
 }
 
-// RoundTrip implements http.RoundTripper.
+// messageType is the content type of the answer to an RPC.
+const messageType = "application/protobuf"
+
+// RoundTrip implements http.RoundTripper. It fails for an answer of another program that
+// has the peer's address: an empty body would pass for a message without fields.
 func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+t.key)
-	return t.next.RoundTrip(r)
+	res, err := t.next.RoundTrip(r)
+	if err != nil || res.StatusCode != http.StatusOK || res.Header.Get("Content-Type") == messageType {
+		return res, err
+	}
+	res.Body.Close()
+	return nil, crank.Fail("peer call", crank.KindUnknown, "the answer has the type %q", res.Header.Get("Content-Type"))
 }
 
 // CloseIdleConnections lets http.Client close the transport's idle connections.
--- a/internal/crankpeer/client_test.go
+++ b/internal/crankpeer/client_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"time"
 
 	crank "cranberrycrank"
 
@@ -46,6 +47,26 @@
 	}
 }
 
+// A message without fields has no bytes, so the empty answer of another program that had
+// the peer's address was taken for a stored job.
+func TestAnswerOfAnotherProgramStoresNothing(t *testing.T) {
+	is := is.New(t)
+	for _, body := range []string{"", "\n", "ok"} {
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			_, _ = rw.Write([]byte(body)) // the caller may have gone
+		}))
+		addr := strings.TrimPrefix(server.URL, "http://")
+		is.Equal(changes(t, addr), allUnknown)
+		_, err := NewLeaderDialer().Leader(addr, "key").AwaitEnd(t.Context(), "job1", time.Second)
+		is.True(err != nil)
+		_, err = NewStoreDialer().StorePeer(addr, "key").Read(t.Context(), crank.JobTopic, 0, 0)
+		is.True(err != nil)
+		_, err = NewDialer("key").Peer(addr).Status(t.Context())
+		is.True(err != nil)
+		server.Close()
+	}
+}
+
 // A request that a peer took may be carried out although its connection breaks.
 func TestConnectionThatBreaksIsNoRefusal(t *testing.T) {
 	is := is.New(t)
