A submission that got no answer is not told as not sent

Cause: http.Transport takes a POST with the header Idempotency-Key for one that it may repeat. When the connection of a submission with a key broke, it sent a copy on a new connection, and if that was refused, as when the instance had just ended, the error was that of a connection which was not made: KindUnavailable, 'nothing was sent', although the first copy may have been accepted. An answer to the copy, as 429, was told for both. Change: the client sends the header under a name that http.Transport does not look for, so that a request without an answer ends as KindUnknown. The caller repeats it with its key.

--- a/pkg/crankwire/wire.go
+++ b/pkg/crankwire/wire.go
@@ -108,6 +108,7 @@
 	}
 	copyHeader(req.Header, c.header)
 	copyHeader(req.Header, header)
+	hideKey(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, nil, c.transportError(op, err)
@@ -145,6 +146,17 @@
 	return crank.Fail(op, crank.KindUnknown, "the answer has status %d", status)
 }
 
+// hideKey keeps http.Transport, which looks for the header by this name, from repeating a
+// request without an answer: only what became of the last copy would be known. Servers
+// read the header whatever its case.
+func hideKey(header http.Header) {
+	const name = "Idempotency-Key"
+	if values, ok := header[name]; ok {
+		delete(header, name)
+		header[strings.ToLower(name)] = values
+	}
+}
+
 func copyHeader(to, from http.Header) {
 	for name, values := range from {
 		to[name] = values
