A redirected call is not called done

Cause: the HTTP client followed redirects. A 301, 302 or 303 makes a GET of a POST, so a proxy that redirects, or another program at the address of a worker or of the log, answered the GET, and a reservation, a start or a submission counted as done that had never been made. Status 304 counted as success too, also of a request without an entity tag. Change: the client follows no redirect, and 304 is an answer only to a condition. Both are KindUnknown otherwise.

--- a/pkg/crankwire/wire.go
+++ b/pkg/crankwire/wire.go
@@ -77,9 +77,13 @@
 	if c.Transport == nil {
 		c.Transport = &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 64}
 	}
-	return &Client{base: base, http: &http.Client{Transport: c.Transport}, header: c.Header}
+	return &Client{base: base, http: &http.Client{Transport: c.Transport, CheckRedirect: doNotFollow}, header: c.Header}
 }
 
+// doNotFollow makes a redirect the answer. Followed, a POST may become a GET, whose answer
+// tells nothing of the call.
+func doNotFollow(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Call sends in as JSON and decodes the response into out; either may be nil. The
 // error is of KindUnavailable if nothing was sent, of the kind in an error
 // response, or of KindUnknown if the response is missing or incomplete.
@@ -100,7 +104,8 @@
 }
 
 // Do sends a body and returns the response's body, of at most limit bytes, and
-// header. The body is empty for status 304 (not modified).
+// header. The body is empty for status 304 (not modified), which only a request with an
+// entity tag may get.
 func (c *Client) Do(ctx context.Context, op, method, path string, body []byte, header http.Header, limit int64) ([]byte, http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -121,7 +126,8 @@
 	if int64(len(data)) > limit {
 		return nil, nil, crank.Fail(op, crank.KindUnknown, "the answer is longer than %d bytes", limit)
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices && resp.StatusCode != http.StatusNotModified {
+	notModified := resp.StatusCode == http.StatusNotModified && req.Header.Get("If-None-Match") != ""
+	if resp.StatusCode >= http.StatusMultipleChoices && !notModified {
 		return data, resp.Header, decodeProblem(op, resp.StatusCode, data)
 	}
 	return data, resp.Header, nil
