An error of another program tells nothing of a call

Cause: the client took the kind in any JSON error as that of the call. A proxy's or another program's error decided by it what had become of a submission or an order: a 'kind' that this project does not know counts as 'not accepted', and a gateway's 502 with the kind unavailable as not done. Change: a kind counts only with the status that this project sends it with; all else is KindUnknown, with the beginning of the body. Measured: TestErrorOfAnotherProgramTellsNothing failed before at the third answer (kind Status instead of unknown); the first two, a 503 without a kind, were right before.

--- a/pkg/crankwire/wire.go
+++ b/pkg/crankwire/wire.go
@@ -146,10 +146,19 @@
 
 func decodeProblem(op string, status int, data []byte) error {
 	var p Problem
-	if err := json.Unmarshal(data[:min(len(data), maxProblemBytes)], &p); err == nil && p.Kind != "" {
+	if err := json.Unmarshal(data[:min(len(data), maxProblemBytes)], &p); err == nil && p.matches(status) {
 		return crank.Fail(op, p.Kind, "%s", p.Message)
 	}
-	return crank.Fail(op, crank.KindUnknown, "the answer has status %d", status)
+	return crank.Fail(op, crank.KindUnknown, "the answer has status %d: %.200s", status, data)
+}
+
+// matches reports whether a Problem comes with the status of its kind. Other programs send
+// other JSON with a kind.
+func (p Problem) matches(status int) bool {
+	if want, ok := statusCodes[p.Kind]; ok && want == status {
+		return true
+	}
+	return p.Kind == crank.KindInvalid && status >= http.StatusBadRequest && status < http.StatusInternalServerError
 }
 
 // hideKey keeps http.Transport, which looks for the header by this name, from repeating a
--- a/pkg/crankwire/wire_test.go
+++ b/pkg/crankwire/wire_test.go
@@ -40,6 +40,30 @@
 	is.True(post(t, func(rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(http.StatusNotModified) }) != nil)
 }
 
+// The kind in the error of another program, or of a proxy, told what had become of a call.
+func TestErrorOfAnotherProgramTellsNothing(t *testing.T) {
+	is := is.New(t)
+	for _, c := range []struct {
+		status int
+		body   string
+	}{
+		{http.StatusServiceUnavailable, "upstream connect error"},
+		{http.StatusServiceUnavailable, ""},
+		{http.StatusNotFound, `{"kind":"Status","apiVersion":"v1","code":404}`},
+		{http.StatusNotFound, "404 page not found"},
+		{http.StatusBadGateway, `{"kind":"unavailable","message":"no upstream"}`},
+		{http.StatusInternalServerError, `{"kind":"not-found"}`},
+		{http.StatusServiceUnavailable, `{"kind":"invalid"}`},
+		{http.StatusTooManyRequests, `{"kind":7}`},
+	} {
+		err := post(t, func(rw http.ResponseWriter, _ *http.Request) {
+			rw.WriteHeader(c.status)
+			_, _ = rw.Write([]byte(c.body)) // the caller may have gone
+		})
+		is.Equal(crank.KindOf(err), crank.KindUnknown)
+	}
+}
+
 // The kinds of errors of this project pass over the wire.
 func TestKindsPassOverTheWire(t *testing.T) {
 	is := is.New(t)
