An answer that shows no position proves nothing of the log

Cause: the client of the log took missing numbers for zero. An answer as {} from another program at the log's address was an empty stream that had been read to its end: the state, also none at all at a start, counted as current, starts were checked against it, and a keeper let its worker forget the attempts that such a state lacks. An append counted as done at offset 0. Change: without the first offset and the end a read fails, without its offset an append is KindUnknown. Measured: TestAnswerWithoutBoundsIsNoEmptyStream and TestAnswerWithoutOffsetIsNotCalledAppended failed before at {}: no error.

--- a/internal/crankplatform/log.go
+++ b/internal/crankplatform/log.go
@@ -28,14 +28,19 @@
 // Append implements crank.Log.
 func (l *Log) Append(ctx context.Context, stream crank.Stream, data []byte) (crank.Offset, error) {
 	var resp struct {
-		Offset crank.Offset `json:"offset"`
+		Offset *crank.Offset `json:"offset"`
 	}
 	body, _, err := l.client.Do(ctx, "log append", http.MethodPost, "/streams/"+string(stream), data, nil, maxAppendResponseBytes)
 	if err != nil {
 		return 0, err
 	}
-	err = crank.Wrap("log append", crank.KindUnknown, json.Unmarshal(body, &resp))
-	return resp.Offset, err
+	if err := json.Unmarshal(body, &resp); err != nil {
+		return 0, crank.Wrap("log append", crank.KindUnknown, err)
+	}
+	if resp.Offset == nil {
+		return 0, crank.Fail("log append", crank.KindUnknown, "the answer does not show the offset")
+	}
+	return *resp.Offset, nil
 }
 
 // maxAppendResponseBytes limits the response to an append, an offset.
@@ -44,13 +49,22 @@
 // Read implements crank.Log. Errors of KindUnknown become KindUnavailable, since a
 // failed read had no effect.
 func (l *Log) Read(ctx context.Context, stream crank.Stream, from crank.Offset, limit int, wait time.Duration) (crank.LogBatch, error) {
-	var batch crank.LogBatch
+	var resp struct {
+		Entries []crank.LogEntry `json:"entries"`
+		First   *crank.Offset    `json:"first"`
+		End     *crank.Offset    `json:"end"`
+	}
 	path := fmt.Sprintf("/streams/%s?from=%d&limit=%d&wait=%s", stream, from, limit, wait)
-	err := l.client.Call(ctx, "log read", http.MethodGet, path, nil, &batch)
-	if err != nil && crank.KindOf(err) == crank.KindUnknown {
-		err = crank.Wrap("log read", crank.KindUnavailable, fmt.Errorf("read: %w", opaqueError{err}))
+	err := l.client.Call(ctx, "log read", http.MethodGet, path, nil, &resp)
+	switch {
+	case err != nil && crank.KindOf(err) == crank.KindUnknown:
+		return crank.LogBatch{}, crank.Wrap("log read", crank.KindUnavailable, fmt.Errorf("read: %w", opaqueError{err}))
+	case err != nil:
+		return crank.LogBatch{}, err
+	case resp.First == nil || resp.End == nil || *resp.First < 0 || *resp.First > *resp.End:
+		return crank.LogBatch{}, crank.Fail("log read", crank.KindUnavailable, "the answer does not show the bounds of the stream")
 	}
-	return batch, err
+	return crank.LogBatch{Entries: resp.Entries, First: *resp.First, End: *resp.End}, nil
 }
 
 // opaqueError hides the kind of an error, so that crank.Wrap sets a new one.
