A report that does not show its incarnation proves nothing

Cause: a keeper compares the incarnation in a worker's report with that of the parts it placed there, and records parts of another one as stopped by a restart. An answer without an incarnation, as {} from another program at the worker's address, is none of them, so all parts there counted as stopped, while the worker may run them under its lease. Change: such an answer is an error of KindUnknown, as any that can't be read. Measured: TestReportWithoutIncarnationProvesNothing failed before at {}: no error.

--- a/internal/crankplatform/worker.go
+++ b/internal/crankplatform/worker.go
@@ -63,10 +63,15 @@
 	return status, err
 }
 
-// Renew implements crank.Worker.
+// Renew implements crank.Worker. An answer that does not show the incarnation may be
+// another program's and proves nothing.
 func (w *Worker) Renew(ctx context.Context, r crank.Renewal) (crank.Report, error) {
+	const op = "worker renew"
 	var report crank.Report
-	err := w.post(ctx, "worker renew", "/renew", r, &report)
+	err := w.post(ctx, op, "/renew", r, &report)
+	if err == nil && report.Epoch == "" {
+		return crank.Report{}, crank.Fail(op, crank.KindUnknown, "the answer does not show the worker's incarnation")
+	}
 	return report, err
 }
 
