The answer of the next worker at an address ends no run

Cause (serve): a worker was called by its address alone. When another worker had got the address, and the list did not show it yet, that one's incarnation was taken for a restart of the first: its parts counted as stopped, and a stop that the second answered with 'not found' as the end of a part, while the first worker ran on at its new address under its lease. Change: a command and a renewal name the worker that is meant. Another one refuses them with KindUnavailable, which is retried and extends no lease, so only the worker itself or its lease ends a part.

--- a/internal/crankdispatch/starter.go
+++ b/internal/crankdispatch/starter.go
@@ -127,7 +127,7 @@
 			if j.PartAt(p.Worker) < 0 || p.EndedOrLost() {
 				continue
 			}
-			command := crank.Command{Attempt: id, Token: victim.Attempt.Token, Epoch: p.Epoch}
+			command := crank.Command{Worker: p.Worker, Attempt: id, Token: victim.Attempt.Token, Epoch: p.Epoch}
 			_, err := s.stopUntilEnded(call, p.Worker, command)
 			if err != nil && crank.KindOf(err) != crank.KindNotFound {
 				return err
@@ -263,7 +263,7 @@
 }
 
 func (s *starter) command(p crankstate.Part) crank.Command {
-	return crank.Command{Attempt: s.id, Token: s.token, Epoch: p.Epoch}
+	return crank.Command{Worker: p.Worker, Attempt: s.id, Token: s.token, Epoch: p.Epoch}
 }
 
 // isPermanent reports whether retrying a call to a worker is pointless.
--- a/internal/crankkeep/worker.go
+++ b/internal/crankkeep/worker.go
@@ -46,7 +46,7 @@
 
 // renew makes one renewal and records the ended parts of its report.
 func (w *workerKeeper) renew(ctx context.Context) error {
-	r := crank.Renewal{Lease: crank.TaskLease, Since: w.revision, Epoch: w.epoch, Wait: crank.RenewWait}
+	r := crank.Renewal{Worker: w.id, Lease: crank.TaskLease, Since: w.revision, Epoch: w.epoch, Wait: crank.RenewWait}
 	if time.Since(w.lastFullReport) > fullReportPeriod {
 		r.Since = 0
 	}
@@ -233,7 +233,7 @@
 func (w *workerKeeper) stopPart(ctx context.Context, j crankstate.Job, p crankstate.Part) {
 	call, cancel := context.WithTimeout(ctx, crank.CallTimeout)
 	defer cancel()
-	command := crank.Command{Attempt: j.ID(), Token: j.Attempt.Token, Epoch: p.Epoch}
+	command := crank.Command{Worker: w.id, Attempt: j.ID(), Token: j.Attempt.Token, Epoch: p.Epoch}
 	if _, err := w.Workers.Worker(w.addr).Stop(call, command); err != nil && ctx.Err() == nil {
 		w.Logger.Warn("keep: stopping a part failed", "worker", w.id, "job", j.Job, "error", err)
 	}
--- a/standin/crankfakeworker/renewal.go
+++ b/standin/crankfakeworker/renewal.go
@@ -15,6 +15,9 @@
 	for {
 		var changed <-chan struct{}
 		err = w.call(ctx, "worker renew", func() error {
+			if err := w.checkID(r.Worker); err != nil {
+				return err
+			}
 			if first {
 				w.extendLeases(r)
 			}
--- a/standin/crankfakeworker/worker.go
+++ b/standin/crankfakeworker/worker.go
@@ -264,12 +264,23 @@
 }
 
 func (w *Worker) checkEpoch(c crank.Command) error {
+	if err := w.checkID(c.Worker); err != nil {
+		return err
+	}
 	if c.Epoch == w.config.Epoch {
 		return nil
 	}
 	return crank.Fail("worker call", crank.KindNotFound, "the worker restarted")
 }
 
+// checkID refuses a call that is meant for another worker.
+func (w *Worker) checkID(id string) error {
+	if id == "" || id == w.config.ID {
+		return nil
+	}
+	return crank.Fail("worker call", crank.KindUnavailable, "another worker has this address")
+}
+
 // call runs f under the lock and injects the faults around it.
 func (w *Worker) call(ctx context.Context, op string, f func() error) error {
 	w.mu.Lock()
--- a/worker.go
+++ b/worker.go
@@ -20,8 +20,10 @@
 // Command identifies the part of a call. Token is a fencing token: a worker
 // rejects one below the highest that it has seen for the attempt. A worker with
 // another epoch returns KindNotFound: the part does not run there and can no
-// longer be started, but it may have run before the restart.
+// longer be started, but it may have run before the restart. A worker with another
+// ID, which has got the address, returns KindUnavailable: it knows nothing of the part.
 type Command struct {
+	Worker  string    `json:"worker,omitempty"` // ID of the worker that is meant
 	Attempt AttemptID `json:"attempt"`
 	Token   Position  `json:"token"`
 	Epoch   string    `json:"epoch"` // incarnation of the worker that the part was placed on
@@ -72,8 +74,10 @@
 	Detail  string    `json:"detail,omitempty"`
 }
 
-// Renewal extends the leases of attempts and waits for changes.
+// Renewal extends the leases of attempts and waits for changes. A worker with another ID
+// returns KindUnavailable.
 type Renewal struct {
+	Worker   string        `json:"worker,omitempty"` // ID of the worker that is meant
 	Attempts []AttemptID   `json:"attempts"`
 	Lease    time.Duration `json:"lease"`
 	Since    int64         `json:"since"` // revision of the last report, 0 for all parts
