An answer that a moved worker keeps is not told as expired

Cause (serve): an instance took 'not found' from the address of the worker that keeps an answer for 'no longer kept', also from another worker that had got the address. Change: the request for an answer names the worker; another one refuses it with KindUnavailable, so the caller is told to return. Measured: TestAnswerKeptByAMovedWorkerIsNotExpired failed before (expired instead of unavailable); with it the answer is fetched once the list shows the new address.

--- a/internal/cranknode/submit.go
+++ b/internal/cranknode/submit.go
@@ -189,7 +189,7 @@
 	for range answerAttempts {
 		call, cancel := context.WithTimeout(ctx, answerTimeout)
 		var data []byte
-		data, err = n.Workers.Worker(w.Addr).Answer(call, j.ID())
+		data, err = n.Workers.Worker(w.Addr).Answer(call, crank.AnswerRequest{AttemptID: j.ID(), Worker: j.Answer.Worker})
 		cancel()
 		if err == nil {
 			err = verifyAnswer(j.Answer, data)
--- a/internal/crankplatform/worker.go
+++ b/internal/crankplatform/worker.go
@@ -76,9 +76,9 @@
 }
 
 // Answer implements crank.Worker.
-func (w *Worker) Answer(ctx context.Context, a crank.AttemptID) ([]byte, error) {
+func (w *Worker) Answer(ctx context.Context, r crank.AnswerRequest) ([]byte, error) {
 	var answer []byte
-	err := w.post(ctx, "worker answer", "/answer", a, &answer)
+	err := w.post(ctx, "worker answer", "/answer", r, &answer)
 	return answer, err
 }
 
--- a/proofs/crankproof/address_test.go
+++ b/proofs/crankproof/address_test.go
@@ -67,3 +67,23 @@
 		})
 	}
 }
+
+// The next worker at the address does not have the answer, so the caller was told that it
+// was no longer kept.
+func TestAnswerKeptByAMovedWorkerIsNotExpired(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c, a, _, _ := startCluster(t)
+		defer c.stopAll()
+		payload := []byte(`{"answer-bytes":40000}`)
+		j := c.await(a, c.submit(a, cranknode.Request{Workspace: "kasur", Profile: "quote", Payload: payload}), time.Minute)
+		c.moveWorker(c.history.firstWorker())
+		_, err := a.node.Answer(t.Context(), j)
+		is.True(err != nil)
+		is.Equal(crank.KindOf(err), crank.KindUnavailable)
+		time.Sleep(12 * time.Second) // the list is back and shows the address
+		answer, err := a.node.Answer(t.Context(), j)
+		is.NoErr(err)
+		is.Equal(string(answer), string(crankfakeworker.Answer(payload)))
+	})
+}
--- a/proofs/crankproof/link_test.go
+++ b/proofs/crankproof/link_test.go
@@ -156,9 +156,9 @@
 	return report, err
 }
 
-func (w *remoteWorker) Answer(ctx context.Context, a crank.AttemptID) (data []byte, err error) {
+func (w *remoteWorker) Answer(ctx context.Context, r crank.AnswerRequest) (data []byte, err error) {
 	err = w.link.call(func() error {
-		data, err = w.worker.Answer(ctx, a)
+		data, err = w.worker.Answer(ctx, r)
 		return err
 	})
 	return data, err
--- a/standin/crankfakehttp/serve.go
+++ b/standin/crankfakehttp/serve.go
@@ -114,7 +114,7 @@
 		writeJSON(rw, report, err)
 	})
 	mux.HandleFunc("POST /answer", func(rw http.ResponseWriter, r *http.Request) {
-		var in crank.AttemptID
+		var in crank.AnswerRequest
 		if err := decode(rw, r, &in); err != nil {
 			writeError(rw, err)
 			return
--- a/standin/crankfakeworker/renewal.go
+++ b/standin/crankfakeworker/renewal.go
@@ -62,9 +62,12 @@
 }
 
 // Answer implements crank.Worker.
-func (w *Worker) Answer(ctx context.Context, a crank.AttemptID) (answer []byte, err error) {
+func (w *Worker) Answer(ctx context.Context, r crank.AnswerRequest) (answer []byte, err error) {
 	err = w.call(ctx, "worker answer", func() error {
-		p, ok := w.parts[a]
+		if err := w.checkID(r.Worker); err != nil {
+			return err
+		}
+		p, ok := w.parts[r.AttemptID]
 		if !ok || p.status.State != crank.PartDone {
 			return crank.Fail("worker answer", crank.KindNotFound, "no answer of this attempt is kept")
 		}
--- a/standin/crankfakeworker/unreachable.go
+++ b/standin/crankfakeworker/unreachable.go
@@ -25,5 +25,7 @@
 func (u unreachable) Renew(context.Context, crank.Renewal) (crank.Report, error) {
 	return crank.Report{}, u.err()
 }
-func (u unreachable) Answer(context.Context, crank.AttemptID) ([]byte, error) { return nil, u.err() }
-func (u unreachable) Forget(context.Context, []crank.AttemptID) error         { return u.err() }
+func (u unreachable) Answer(context.Context, crank.AnswerRequest) ([]byte, error) {
+	return nil, u.err()
+}
+func (u unreachable) Forget(context.Context, []crank.AttemptID) error { return u.err() }
--- a/worker.go
+++ b/worker.go
@@ -85,6 +85,13 @@
 	Wait     time.Duration `json:"wait"`  // for a change (long polling)
 }
 
+// AnswerRequest asks a worker for the answer of a part. A worker with another ID returns
+// KindUnavailable.
+type AnswerRequest struct {
+	AttemptID
+	Worker string `json:"worker,omitempty"` // ID of the worker that is meant
+}
+
 // Report lists the parts that changed on a worker since a revision.
 type Report struct {
 	Epoch    string       `json:"epoch"` // incarnation, changes when the worker restarts
@@ -108,8 +115,9 @@
 	Stop(ctx context.Context, c Command) (PartStatus, error)
 	// Renew extends leases and returns what changed.
 	Renew(ctx context.Context, r Renewal) (Report, error)
-	// Answer returns the answer of a completed part.
-	Answer(ctx context.Context, a AttemptID) ([]byte, error)
+	// Answer returns the answer of a completed part. KindNotFound means that the worker
+	// that is meant does not keep it.
+	Answer(ctx context.Context, r AnswerRequest) ([]byte, error)
 	// Forget lets the worker delete the state and answers of ended attempts.
 	Forget(ctx context.Context, attempts []AttemptID) error
 }
