A topic that ends before what was read is not current

Cause: a reader of a topic counted as caught up when its next record was at or beyond the end in an answer, so an answer of a store that ends earlier, as an older copy does, proved that nothing was newer. Configurations, jobs and the term then counted as current. Change: such a read fails and is repeated; an instance that gets nothing else is not ready. Measured: TestAnswerThatEndsBeforeWhatWasReadIsNotCurrent failed before: current for all of the 20 s.

--- a/internal/crankfeed/follower.go
+++ b/internal/crankfeed/follower.go
@@ -111,6 +111,9 @@
 		}
 		return err
 	}
+	if batch.End < f.next {
+		return crank.Fail("topic read", crank.KindUnavailable, "the topic ends at %d, before %d that was read", batch.End, f.next)
+	}
 	if len(batch.Records) > 0 {
 		f.Sink.Apply(f.withoutOlder(batch.Records))
 		f.next = batch.Records[len(batch.Records)-1].Offset + 1
--- a/internal/crankfeed/follower_test.go
+++ b/internal/crankfeed/follower_test.go
@@ -100,3 +100,40 @@
 		is.Equal(sink.values, []string{"1", "2"})
 	})
 }
+
+// staleStore ends before what was read of it.
+type staleStore struct{ crank.Store }
+
+// Newest implements crank.Store.
+func (staleStore) Newest(context.Context, crank.Topic) (crank.KeyedBatch, error) {
+	return crank.KeyedBatch{End: 3}, nil
+}
+
+// Read implements crank.Store.
+func (staleStore) Read(_ context.Context, _ crank.Topic, _ crank.Offset, wait time.Duration) (crank.KeyedBatch, error) {
+	time.Sleep(wait)
+	return crank.KeyedBatch{End: 2}, nil
+}
+
+// currentSink keeps the newest time at which the topic counts as current.
+type currentSink struct {
+	valueSink
+	at time.Time
+}
+
+// CaughtUp implements Sink.
+func (s *currentSink) CaughtUp(at time.Time, _ crank.Offset) { s.at = at }
+
+// An answer of a store that ends before what was read of it, as an older copy of it does,
+// was taken for the proof that nothing is newer.
+func TestAnswerThatEndsBeforeWhatWasReadIsNotCurrent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		sink, loaded := new(currentSink), time.Now()
+		f := NewFollower(FollowerConfig{Store: staleStore{}, Logger: slog.New(slog.DiscardHandler), Wait: Constant(time.Second), Sink: sink})
+		ctx, cancel := context.WithTimeout(t.Context(), 20*time.Second)
+		defer cancel()
+		is.NoErr(f.Run(ctx))
+		is.Equal(sink.at, loaded)
+	})
+}
