A log that ends before the state is not current

A state counted as current by an answer of a log that ends before it, although the newer entries could not be in that answer. Change: such a read fails and is repeated.

--- a/internal/crankstream/follower.go
+++ b/internal/crankstream/follower.go
@@ -72,6 +72,9 @@
 	if err != nil {
 		return err
 	}
+	if batch.End < f.state.Next {
+		return crank.Fail("log read", crank.KindUnavailable, "the stream ends at %d, before %d that was applied", batch.End, f.state.Next)
+	}
 	f.apply(ctx, batch.Entries)
 	if f.state.Next >= batch.End {
 		f.publish(start)
