--- a/internal/crankpeer/client_test.go
+++ b/internal/crankpeer/client_test.go
@@ -1,6 +1,7 @@
 package crankpeer
 
 import (
+	"context"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -33,6 +34,32 @@
 
 var allUnknown = map[string]crank.Kind{"log append": crank.KindUnknown, "store append": crank.KindUnknown, "submission": crank.KindUnknown}
 
+// stubLog fails every append.
+type stubLog struct {
+	crank.Log
+	err error
+}
+
+// Append implements crank.Log.
+func (s *stubLog) Append(context.Context, crank.Stream, []byte) (crank.Offset, error) {
+	return 0, s.err
+}
+
+// A peer that got no answer from the log itself must not pass for one that was refused.
+func TestRefusalOfTheLogPassesThroughAPeer(t *testing.T) {
+	is := is.New(t)
+	log := new(stubLog)
+	server := httptest.NewServer(NewHandler(ServerConfig{Log: log, Key: "key"}))
+	defer server.Close()
+	for kind, want := range map[crank.Kind]crank.Kind{
+		crank.KindUnavailable: crank.KindUnavailable, crank.KindUnknown: crank.KindUnknown, crank.KindInvalid: crank.KindUnknown, crank.KindConflict: crank.KindUnknown,
+	} {
+		log.err = crank.Fail("test", kind, "no")
+		_, err := NewDialer("key").Peer(strings.TrimPrefix(server.URL, "http://")).Append(t.Context(), crank.EventStream, []byte("x"))
+		is.Equal(crank.KindOf(err), want)
+	}
+}
+
 // A proxy whose connection to the peer broke after the request was taken for a peer that
 // had refused it.
 func TestStatusOfAProxyIsNoRefusal(t *testing.T) {
