A later path's answer to a read shows all records until then

Cause: a read that finds nothing waits for a record, and an answer without records that comes after the wait counts as current at its end. When the first path of a read failed before that, the next one did not wait: the store looked at once, but if its answer was slow, it came after the wait and passed for one that shows all records until then. A job that was stored in between was told as one that does not exist, and a configuration or a term counted as current up to a wait (1 s for configurations) longer than it was read. Change: each path waits for the rest of the time.

--- a/internal/crankrelay/store.go
+++ b/internal/crankrelay/store.go
@@ -94,7 +94,7 @@
 
 // Append implements crank.Store.
 func (s *Store) Append(ctx context.Context, a crank.StoreAppend) (crank.Offset, error) {
-	r := s.callStore(ctx, callKind{a.Topic, true}, 0, s.appendTime.hedge(), func(ctx context.Context, p path, _ bool) reply {
+	r := s.callStore(ctx, callKind{a.Topic, true}, 0, s.appendTime.hedge(), func(ctx context.Context, p path, _ time.Duration) reply {
 		end, err := p.store.Append(ctx, a)
 		return reply{path: p, batch: crank.KeyedBatch{End: end}, err: err}
 	})
@@ -104,14 +104,11 @@
 	return r.batch.End, r.err
 }
 
-// Read implements crank.Store. Only the first path waits for a record.
+// Read implements crank.Store. A later path waits for the rest of the time, so that an
+// answer without records which comes after the wait was current then.
 func (s *Store) Read(ctx context.Context, topic crank.Topic, from crank.Offset, wait time.Duration) (crank.KeyedBatch, error) {
-	r := s.callStore(ctx, callKind{topic, false}, wait, s.readTime.hedge(), func(ctx context.Context, p path, first bool) reply {
-		pathWait := wait
-		if !first {
-			pathWait = 0
-		}
-		batch, err := p.store.Read(ctx, topic, from, pathWait)
+	r := s.callStore(ctx, callKind{topic, false}, wait, s.readTime.hedge(), func(ctx context.Context, p path, left time.Duration) reply {
+		batch, err := p.store.Read(ctx, topic, from, left)
 		return reply{path: p, batch: batch, err: err}
 	})
 	if r.err == nil && (r.took > wait || wait == 0) {
@@ -122,16 +119,16 @@
 
 // Newest implements crank.Store.
 func (s *Store) Newest(ctx context.Context, topic crank.Topic) (crank.KeyedBatch, error) {
-	r := s.callStore(ctx, callKind{topic, false}, 0, maxHedgeDelay, func(ctx context.Context, p path, _ bool) reply {
+	r := s.callStore(ctx, callKind{topic, false}, 0, maxHedgeDelay, func(ctx context.Context, p path, _ time.Duration) reply {
 		batch, err := p.store.Newest(ctx, topic)
 		return reply{path: p, batch: batch, err: err}
 	})
 	return r.batch, r.err
 }
 
-// callStore makes a call unless the store refused such calls on every path just now.
-// The first path may take longer to answer, by wait.
-func (s *Store) callStore(ctx context.Context, k callKind, wait, hedge time.Duration, call func(ctx context.Context, p path, first bool) reply) reply {
+// callStore makes a call unless the store refused such calls on every path just now. Paths
+// may take longer to answer, by what is left of wait.
+func (s *Store) callStore(ctx context.Context, k callKind, wait, hedge time.Duration, call func(ctx context.Context, p path, left time.Duration) reply) reply {
 	c := s.circuit(k)
 	interval := probeInterval(s.Instances())
 	if !c.allow(time.Now(), interval) {
@@ -163,7 +160,7 @@
 // adds a path when one fails or does not answer within the hedge delay. While only peers
 // have not answered, it goes back to the primary that failed before. The error is of a
 // kind other than KindUnknown only if the call certainly had no effect on any path.
-func (s *Store) tryPaths(ctx context.Context, c *circuit, wait, hedge time.Duration, call func(ctx context.Context, p path, first bool) reply) reply {
+func (s *Store) tryPaths(ctx context.Context, c *circuit, wait, hedge time.Duration, call func(ctx context.Context, p path, left time.Duration) reply) reply {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	replies := make(chan reply, maxPaths)
@@ -191,9 +188,10 @@
 		if !first && waited {
 			timer.Reset(hedge)
 		}
+		left := max(0, wait-time.Since(begun)+time.Millisecond-1).Truncate(time.Millisecond) // the store counts whole ones
 		go func() {
 			begun := time.Now()
-			r := call(ctx, p, first)
+			r := call(ctx, p, left)
 			r.took = time.Since(begun)
 			replies <- r
 		}()
