An empty answer is not an unchanged list

Cause (serve): the client of the instance list took any empty answer for 'not modified'. The list as read before then counted as read anew, with workers that had been marked as leaving since. Change: only status 304 means that the list has not changed. errors.go says that a kind holds for the failed call and not for earlier tries.

--- a/errors.go
+++ b/errors.go
@@ -10,7 +10,8 @@
 // Kind classifies an Error by how the caller can react to it.
 type Kind string
 
-// Kinds of errors.
+// Kinds of errors. What a kind tells of the effect holds for the call that failed, not for
+// earlier tries of it.
 const (
 	KindInvalid     Kind = "invalid"     // the input is wrong, retrying does not help
 	KindNotFound    Kind = "not-found"   // the named object does not exist
--- a/internal/crankplatform/list.go
+++ b/internal/crankplatform/list.go
@@ -41,7 +41,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if len(data) == 0 && l.etag != "" {
+	if data == nil {
 		return l.instances, nil
 	}
 	var entries []json.RawMessage
--- a/pkg/crankwire/wire.go
+++ b/pkg/crankwire/wire.go
@@ -104,7 +104,7 @@
 }
 
 // Do sends a body and returns the response's body, of at most limit bytes, and
-// header. The body is empty for status 304 (not modified), which only a request with an
+// header. The body is nil for status 304 (not modified) only, which only a request with an
 // entity tag may get.
 func (c *Client) Do(ctx context.Context, op, method, path string, body []byte, header http.Header, limit int64) ([]byte, http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
@@ -127,7 +127,10 @@
 		return nil, nil, crank.Fail(op, crank.KindUnknown, "the answer is longer than %d bytes", limit)
 	}
 	notModified := resp.StatusCode == http.StatusNotModified && req.Header.Get("If-None-Match") != ""
-	if resp.StatusCode >= http.StatusMultipleChoices && !notModified {
+	switch {
+	case notModified:
+		return nil, resp.Header, nil
+	case resp.StatusCode >= http.StatusMultipleChoices:
 		return data, resp.Header, decodeProblem(op, resp.StatusCode, data)
 	}
 	return data, resp.Header, nil
