--- a/internal/crankpeer/client.go
+++ b/internal/crankpeer/client.go
@@ -50,17 +50,26 @@
 	return &http.Client{Transport: &keyTransport{key: key, next: &http.Transport{MaxIdleConnsPerHost: maxIdlePerPeer, DialContext: dialer.DialContext}}}
 }
 
-// keyTransport adds the peer key to every call.
+// keyTransport adds the peer key to every call and checks the type of its answer.
 type keyTransport struct {
 	key  string
 	next *http.Transport
 }
 
-// RoundTrip implements http.RoundTripper.
+// messageType is the content type of the answer to an RPC.
+const messageType = "application/protobuf"
+
+// RoundTrip implements http.RoundTripper. It fails for an answer of another program that
+// has the peer's address: an empty body would pass for a message without fields.
 func (t *keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	r = r.Clone(r.Context())
 	r.Header.Set("Authorization", "Bearer "+t.key)
-	return t.next.RoundTrip(r)
+	res, err := t.next.RoundTrip(r)
+	if err != nil || res.StatusCode != http.StatusOK || res.Header.Get("Content-Type") == messageType {
+		return res, err
+	}
+	res.Body.Close()
+	return nil, crank.Fail("peer call", crank.KindUnknown, "the answer has the type %q", res.Header.Get("Content-Type"))
 }
 
 // CloseIdleConnections lets http.Client close the transport's idle connections.
@@ -121,7 +130,12 @@
 
 func (c *Client) callError(op string, err error) *crank.Error { return newCallError(op, c.http, err) }
 
-// newCallError classifies the failure of a call. One that the peer rejected as
+// intermediaryMeta marks errors that Twirp made of an HTTP status without an RPC error. It
+// calls 502, 503 and 504 unavailable, but they come from a proxy that may have passed the
+// call on.
+const intermediaryMeta = "http_error_from_intermediary"
+
+// newCallError classifies the failure of a call. One that the peer itself rejected as
 // unavailable, or whose connection was not established, had no effect:
 // KindUnavailable. Any other is KindUnknown, and idle connections are closed because
 // they may be dead.
@@ -129,7 +143,8 @@
 	var twirpErr twirp.Error
 	var opErr *net.OpError
 	kind := crank.KindUnknown
-	if (errors.As(err, &twirpErr) && twirpErr.Code() == twirp.Unavailable) || (errors.As(err, &opErr) && opErr.Op == "dial") {
+	refused := errors.As(err, &twirpErr) && twirpErr.Code() == twirp.Unavailable && twirpErr.Meta(intermediaryMeta) == ""
+	if refused || (errors.As(err, &opErr) && opErr.Op == "dial") {
 		kind = crank.KindUnavailable
 	}
 	if kind == crank.KindUnknown {
--- /dev/null
+++ b/internal/crankpeer/client_test.go
@@ -0,0 +1,103 @@
+package crankpeer
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	crank "cranberrycrank"
+
+	"github.com/matryer/is"
+)
+
+// changes returns the kinds of the errors of all calls that store something, made at an
+// address.
+func changes(t *testing.T, addr string) map[string]crank.Kind {
+	t.Helper()
+	kinds := make(map[string]crank.Kind)
+	note := func(call string, err error) {
+		kinds[call] = ""
+		if err != nil {
+			kinds[call] = crank.KindOf(err)
+		}
+	}
+	_, err := NewDialer("key").Peer(addr).Append(t.Context(), crank.EventStream, []byte("x"))
+	note("log append", err)
+	_, err = NewStoreDialer().StorePeer(addr, "key").Append(t.Context(), crank.StoreAppend{Topic: crank.JobTopic})
+	note("store append", err)
+	note("submission", NewLeaderDialer().Leader(addr, "key").Submit(t.Context(), crank.StepJob{ID: "job1"}))
+	return kinds
+}
+
+var allUnknown = map[string]crank.Kind{"log append": crank.KindUnknown, "store append": crank.KindUnknown, "submission": crank.KindUnknown}
+
+// stubLog fails every append.
+type stubLog struct {
+	crank.Log
+	err error
+}
+
+// Append implements crank.Log.
+func (s *stubLog) Append(context.Context, crank.Stream, []byte) (crank.Offset, error) {
+	return 0, s.err
+}
+
+// A peer that got no answer from the log itself must not pass for one that was refused.
+func TestRefusalOfTheLogPassesThroughAPeer(t *testing.T) {
+	is := is.New(t)
+	log := new(stubLog)
+	server := httptest.NewServer(NewHandler(ServerConfig{Log: log, Key: "key"}))
+	defer server.Close()
+	for kind, want := range map[crank.Kind]crank.Kind{
+		crank.KindUnavailable: crank.KindUnavailable, crank.KindUnknown: crank.KindUnknown, crank.KindInvalid: crank.KindUnknown, crank.KindConflict: crank.KindUnknown,
+	} {
+		log.err = crank.Fail("test", kind, "no")
+		_, err := NewDialer("key").Peer(strings.TrimPrefix(server.URL, "http://")).Append(t.Context(), crank.EventStream, []byte("x"))
+		is.Equal(crank.KindOf(err), want)
+	}
+}
+
+// A proxy whose connection to the peer broke after the request was taken for a peer that
+// had refused it.
+func TestStatusOfAProxyIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	for _, status := range []int{http.StatusTooManyRequests, http.StatusBadGateway, http.StatusServiceUnavailable, http.StatusGatewayTimeout, http.StatusFound} {
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			rw.WriteHeader(status)
+			_, _ = rw.Write([]byte("upstream connect error")) // the caller may have gone
+		}))
+		is.Equal(changes(t, strings.TrimPrefix(server.URL, "http://")), allUnknown)
+		server.Close()
+	}
+}
+
+// A message without fields has no bytes, so the empty answer of another program that had
+// the peer's address was taken for a stored job.
+func TestAnswerOfAnotherProgramStoresNothing(t *testing.T) {
+	is := is.New(t)
+	for _, body := range []string{"", "\n", "ok"} {
+		server := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, _ *http.Request) {
+			_, _ = rw.Write([]byte(body)) // the caller may have gone
+		}))
+		addr := strings.TrimPrefix(server.URL, "http://")
+		is.Equal(changes(t, addr), allUnknown)
+		_, err := NewLeaderDialer().Leader(addr, "key").AwaitEnd(t.Context(), "job1", time.Second)
+		is.True(err != nil)
+		_, err = NewStoreDialer().StorePeer(addr, "key").Read(t.Context(), crank.JobTopic, 0, 0)
+		is.True(err != nil)
+		_, err = NewDialer("key").Peer(addr).Status(t.Context())
+		is.True(err != nil)
+		server.Close()
+	}
+}
+
+// A request that a peer took may be carried out although its connection breaks.
+func TestConnectionThatBreaksIsNoRefusal(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }))
+	defer server.Close()
+	is.Equal(changes(t, strings.TrimPrefix(server.URL, "http://")), allUnknown)
+}
--- a/pkg/crankwire/wire.go
+++ b/pkg/crankwire/wire.go
@@ -77,9 +77,13 @@
 	if c.Transport == nil {
 		c.Transport = &http.Transport{MaxIdleConnsPerHost: 4, MaxConnsPerHost: 64}
 	}
-	return &Client{base: base, http: &http.Client{Transport: c.Transport}, header: c.Header}
+	return &Client{base: base, http: &http.Client{Transport: c.Transport, CheckRedirect: doNotFollow}, header: c.Header}
 }
 
+// doNotFollow makes a redirect the answer. Followed, a POST may become a GET, whose answer
+// tells nothing of the call.
+func doNotFollow(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+
 // Call sends in as JSON and decodes the response into out; either may be nil. The
 // error is of KindUnavailable if nothing was sent, of the kind in an error
 // response, or of KindUnknown if the response is missing or incomplete.
@@ -100,7 +104,8 @@
 }
 
 // Do sends a body and returns the response's body, of at most limit bytes, and
-// header. The body is empty for status 304 (not modified).
+// header. The body is nil for status 304 (not modified) only, which only a request with an
+// entity tag may get.
 func (c *Client) Do(ctx context.Context, op, method, path string, body []byte, header http.Header, limit int64) ([]byte, http.Header, error) {
 	req, err := http.NewRequestWithContext(ctx, method, c.base+path, bytes.NewReader(body))
 	if err != nil {
@@ -108,6 +113,7 @@
 	}
 	copyHeader(req.Header, c.header)
 	copyHeader(req.Header, header)
+	hideKey(req.Header)
 	resp, err := c.http.Do(req)
 	if err != nil {
 		return nil, nil, c.transportError(op, err)
@@ -120,7 +126,11 @@
 	if int64(len(data)) > limit {
 		return nil, nil, crank.Fail(op, crank.KindUnknown, "the answer is longer than %d bytes", limit)
 	}
-	if resp.StatusCode >= http.StatusMultipleChoices && resp.StatusCode != http.StatusNotModified {
+	notModified := resp.StatusCode == http.StatusNotModified && req.Header.Get("If-None-Match") != ""
+	switch {
+	case notModified:
+		return nil, resp.Header, nil
+	case resp.StatusCode >= http.StatusMultipleChoices:
 		return data, resp.Header, decodeProblem(op, resp.StatusCode, data)
 	}
 	return data, resp.Header, nil
@@ -139,10 +149,30 @@
 
 func decodeProblem(op string, status int, data []byte) error {
 	var p Problem
-	if err := json.Unmarshal(data[:min(len(data), maxProblemBytes)], &p); err == nil && p.Kind != "" {
+	if err := json.Unmarshal(data[:min(len(data), maxProblemBytes)], &p); err == nil && p.matches(status) {
 		return crank.Fail(op, p.Kind, "%s", p.Message)
 	}
-	return crank.Fail(op, crank.KindUnknown, "the answer has status %d", status)
+	return crank.Fail(op, crank.KindUnknown, "the answer has status %d: %.200s", status, data)
+}
+
+// matches reports whether a Problem comes with the status of its kind. Other programs send
+// other JSON with a kind.
+func (p Problem) matches(status int) bool {
+	if want, ok := statusCodes[p.Kind]; ok && want == status {
+		return true
+	}
+	return p.Kind == crank.KindInvalid && status >= http.StatusBadRequest && status < http.StatusInternalServerError
+}
+
+// hideKey keeps http.Transport, which looks for the header by this name, from repeating a
+// request without an answer: only what became of the last copy would be known. Servers
+// read the header whatever its case.
+func hideKey(header http.Header) {
+	const name = "Idempotency-Key"
+	if values, ok := header[name]; ok {
+		delete(header, name)
+		header[strings.ToLower(name)] = values
+	}
 }
 
 func copyHeader(to, from http.Header) {
--- a/worker.go
+++ b/worker.go
@@ -20,8 +20,10 @@
 // Command identifies the part of a call. Token is a fencing token: a worker
 // rejects one below the highest that it has seen for the attempt. A worker with
 // another epoch returns KindNotFound: the part does not run there and can no
-// longer be started, but it may have run before the restart.
+// longer be started, but it may have run before the restart. A worker with another
+// ID, which has got the address, returns KindUnavailable: it knows nothing of the part.
 type Command struct {
+	Worker  string    `json:"worker,omitempty"` // ID of the worker that is meant
 	Attempt AttemptID `json:"attempt"`
 	Token   Position  `json:"token"`
 	Epoch   string    `json:"epoch"` // incarnation of the worker that the part was placed on
@@ -72,8 +74,10 @@
 	Detail  string    `json:"detail,omitempty"`
 }
 
-// Renewal extends the leases of attempts and waits for changes.
+// Renewal extends the leases of attempts and waits for changes. A worker with another ID
+// returns KindUnavailable.
 type Renewal struct {
+	Worker   string        `json:"worker,omitempty"` // ID of the worker that is meant
 	Attempts []AttemptID   `json:"attempts"`
 	Lease    time.Duration `json:"lease"`
 	Since    int64         `json:"since"` // revision of the last report, 0 for all parts
@@ -81,6 +85,13 @@
 	Wait     time.Duration `json:"wait"`  // for a change (long polling)
 }
 
+// AnswerRequest asks a worker for the answer of a part. A worker with another ID returns
+// KindUnavailable.
+type AnswerRequest struct {
+	AttemptID
+	Worker string `json:"worker,omitempty"` // ID of the worker that is meant
+}
+
 // Report lists the parts that changed on a worker since a revision.
 type Report struct {
 	Epoch    string       `json:"epoch"` // incarnation, changes when the worker restarts
@@ -104,8 +115,9 @@
 	Stop(ctx context.Context, c Command) (PartStatus, error)
 	// Renew extends leases and returns what changed.
 	Renew(ctx context.Context, r Renewal) (Report, error)
-	// Answer returns the answer of a completed part.
-	Answer(ctx context.Context, a AttemptID) ([]byte, error)
+	// Answer returns the answer of a completed part. KindNotFound means that the worker
+	// that is meant does not keep it.
+	Answer(ctx context.Context, r AnswerRequest) ([]byte, error)
 	// Forget lets the worker delete the state and answers of ended attempts.
 	Forget(ctx context.Context, attempts []AttemptID) error
 }
