List: a worker that is listed again has not left

Cause: the newest start time of a worker that had left in order stood for all earlier ones too. A worker that starts again under its ID after its time of day was set back has an earlier one. Once it did not answer and its entry had expired, its runs were started elsewhere under a good lease. Change: a departure holds until a later entry shows no later start time.

--- a/internal/crankfleet/list.go
+++ b/internal/crankfleet/list.go
@@ -40,14 +40,14 @@
 	version int64                        // see Version
 
 	offsets map[string]crank.Offset // of the newest entry by worker ID
-	left    map[string]int64        // start time of the newest incarnation that has left, by worker ID
+	left    map[string]departure    // the newest one by worker ID
 }
 
 // NewList returns an empty list.
 func NewList(c ListConfig) *List {
 	return &List{
 		ListConfig: c, entries: make(map[string]crank.WorkerEntry), started: make(map[string]int64), earlier: make(map[string]int64),
-		offsets: make(map[string]crank.Offset), left: make(map[string]int64),
+		offsets: make(map[string]crank.Offset), left: make(map[string]departure),
 	}
 }
 
@@ -131,6 +131,7 @@
 		return
 	}
 	delete(l.earlier, r.Key)
+	l.noteListed(e, r.Offset)
 	l.started[r.Key] = e.StartTimeMs
 	old, known := l.entries[e.ID]
 	if !known || old.StartTimeMs != e.StartTimeMs || old.Addr != e.Addr || old.Draining != e.Draining || old.Capacity != e.Capacity {
