sched: the stored limit of a lease covers what this term granted

Cause: for a worker of the inherited roster that was not accounted for, the end of the earlier terms' leases was stored as its limit, though it may have answered with an incomplete report and had its lease extended since. A successor started its tasks elsewhere before the lease was over. Change: the later of both is stored. Result: TestLeaseOfAWorkerWithAnIncompleteReportIsStoredWhole passes; eight tasks of one worker ran twice before.

--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -282,10 +282,14 @@
 
 // leaseEnd returns by when all runs at a worker have stopped unless its lease is extended.
 func (s *Scheduler) leaseEnd(w *worker) time.Time {
-	if until, ok := s.unaccounted[w.incarnation]; ok {
+	until, ok := s.unaccounted[w.incarnation]
+	if ok && !w.answered { // nothing was granted in this term
 		return until
 	}
-	return w.keeper.LeaseExpiry()
+	if expiry := w.keeper.LeaseExpiry(); expiry.After(until) {
+		return expiry
+	}
+	return until
 }
 
 // leaseLeft returns how long the lease of a worker may last, 0 if it is over.
