sched: a fenced repetition of a start order frees no run

Cause: a run was released when the repetition of its order was refused for its fencing token, though an earlier try had got no answer and may have taken effect. The planner resigns in the same step but may begin another round before its term ends. Change: whether an earlier try got no answer is asked first; the term is given up in any case. Result: TestFencedRepeatOfAStartFreesNoRun passes (failed before).

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -247,11 +247,11 @@
 		}
 		return
 	}
+	if err == nil && reply.Refusal == crank.RefusalFence {
+		s.Leadership.Resign("worker " + p.worker.entry.ID + " has seen a higher fence")
+	}
 	why := ""
 	switch kind := crank.KindOf(err); {
-	case err == nil && reply.Refusal == crank.RefusalFence:
-		s.Leadership.Resign("worker " + p.worker.entry.ID + " has seen a higher fence")
-		why = "the fence was refused"
 	case uncertain:
 		s.Logger.Warn("sched: start without an answer", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "until", p.conclusiveAfter, "last-refusal", reply.Refusal, "error", err)
 		if p.state == stateOrdered && p.step.Gang {
