A renewal extends the lease of one incarnation or of none

Cause: renewals named only the worker's ID. One that reached the next incarnation carried a deadline on a clock that had started anew, so that the worker granted its longest lease, 10 s, whatever was left to the leader (8 s at most). The keeper of the next incarnation knew nothing of it, and neither did a successor, which dates all leases from the last contact: six tasks of one worker ran twice when it was cut off and the leader was lost.

--- a/lease.go
+++ b/lease.go
@@ -112,9 +112,9 @@
 // nothing of earlier tries of the call. KindConflict means that another incarnation under the
 // same ID has answered. After others the order may take effect, even seconds later.
 //
-// Start takes effect at this incarnation or nowhere. Stop and Renew may take effect at a
-// later one under the same ID; the report of a renewal then shows its start time beside
-// KindConflict.
+// Start and Renew take effect at this incarnation or nowhere, but that Renew may raise the
+// fencing token of a later one under the same ID; its report then shows the start time of
+// that one beside KindConflict. Stop may take effect at a later one.
 type LeasedWorker interface {
 	Start(ctx context.Context, o RunOrder) (OrderReply, error)
 	Stop(ctx context.Context, o StopOrder) (OrderReply, error)
--- a/proofs/crankentryproof/order_connection_test.go
+++ b/proofs/crankentryproof/order_connection_test.go
@@ -1,6 +1,7 @@
 package crankentryproof
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -25,6 +26,7 @@
 	born   int64
 	hold   http.HandlerFunc // answers renewals instead; may be nil
 	starts []int64          // incarnations that received a start order
+	leases []int64          // incarnations whose lease was extended
 }
 
 func newRestartingWorker(t *testing.T) *restartingWorker {
@@ -36,8 +38,12 @@
 
 // ServeHTTP implements http.Handler.
 func (w *restartingWorker) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body) // one that is cut off extends nothing
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	if bytes.Contains(body, []byte(`"deadline_ms"`)) && r.URL.Path == "/api/hold" {
+		w.leases = append(w.leases, w.born)
+	}
 	switch {
 	case r.URL.Path == "/api/run-start":
 		w.starts = append(w.starts, w.born)
@@ -93,6 +99,33 @@
 	is.Equal(w.starts, []int64{1})
 }
 
+// A renewal that was sent after its worker had restarted extended the lease of the next
+// incarnation, beyond what a later leader waits for.
+func TestRenewalExtendsNoLaterIncarnation(t *testing.T) {
+	is := is.New(t)
+	w := newRestartingWorker(t)
+	client, unused := w.client(), w.client()
+	renew := func(c crank.LeasedWorker) (crank.RenewReport, error) {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		defer cancel()
+		return c.Renew(ctx, crank.RenewOrder{Fence: 3, DeadlineMs: 100})
+	}
+	_, err := renew(client)
+	is.NoErr(err)
+	w.restart()
+	_, err = renew(client) // may be sent on the connection that has just ended
+	is.True(err != nil)
+	kind := crank.KindOf(err)
+	is.True(kind == crank.KindConflict || kind == crank.KindUnknown)
+	for _, c := range []crank.LeasedWorker{client, unused, client} {
+		report, err := renew(c)
+		is.True(err != nil)
+		is.Equal(crank.KindOf(err), crank.KindConflict)
+		is.Equal(report.StartTimeMs, int64(2)) // of the next one
+	}
+	is.Equal(w.leases, []int64{1})
+}
+
 // A connection on which it can't be shown who answers must carry no order.
 func TestStartOrderIsNotSentBeforeTheIncarnationIsKnown(t *testing.T) {
 	status := func(code int, body string) http.HandlerFunc {
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -183,8 +183,9 @@
 	return reply, nil
 }
 
-// Renew implements crank.LeasedWorker. Only its report shows the incarnation, so it
-// has taken effect when it fails with KindConflict.
+// Renew implements crank.LeasedWorker. It extends the lease of its own incarnation only. What
+// else it does has taken effect at another one when it fails with KindConflict, which is more
+// than the interface allows.
 func (c *client) Renew(ctx context.Context, o crank.RenewOrder) (crank.RenewReport, error) {
 	report, err := c.awaitEnd(ctx, o)
 	if former := (formerAnswer{}); errors.As(err, &former) {
@@ -212,7 +213,7 @@
 			return crank.Fail(op, crank.KindFenced, "a higher fence was seen: %d", w.fence)
 		}
 		w.fence = o.Fence
-		if o.DeadlineMs > 0 {
+		if o.DeadlineMs > 0 && w.entry.StartTimeMs == c.entry.StartTimeMs {
 			w.extendLease(o.DeadlineMs)
 		}
 		w.acknowledge(o.AckedThrough)
