--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -39,6 +39,7 @@
 	// CrossRackSlowdown multiplies the time of a gang with SameRack on several racks, and
 	// of a task off its DataRack. 0 is the same as 1.
 	CrossRackSlowdown float64
+	ClockRate         float64       // of the workers' clocks, 0 is the same as 1
 	Observe           func(e Event) // called under the lock, may be nil
 }
 
@@ -161,7 +162,17 @@
 }
 
 // clock returns the worker's clock, in milliseconds since its start.
-func (w *worker) clock() int64 { return time.Since(w.startedAt).Milliseconds() }
+func (w *worker) clock() int64 {
+	return time.Duration(float64(time.Since(w.startedAt)) * w.rate()).Milliseconds()
+}
+
+// rate returns how fast the worker's clock runs.
+func (w *worker) rate() float64 {
+	if w.fleet.ClockRate == 0 {
+		return 1
+	}
+	return w.fleet.ClockRate
+}
 
 // isSilent reports whether nobody answers at the worker's address.
 func (w *worker) isSilent() bool { return !w.up && !w.left && !w.replaced }
@@ -241,11 +252,16 @@
 	}
 }
 
+// onClock returns how long the worker's clock takes for a duration.
+func (w *worker) onClock(d time.Duration) time.Duration {
+	return time.Duration(float64(d) / w.rate())
+}
+
 // extendLease extends the lease to a time on the worker's clock, at most by
 // Bounds.MaxLease. Its expiry ends all runs.
 func (w *worker) extendLease(until int64) {
-	limit := time.Now().Add(w.fleet.Bounds.MaxLease)
-	d := w.startedAt.Add(time.Duration(until) * time.Millisecond)
+	limit := time.Now().Add(w.onClock(w.fleet.Bounds.MaxLease))
+	d := w.startedAt.Add(w.onClock(time.Duration(until) * time.Millisecond))
 	if d.After(limit) {
 		d = limit
 	}
