sched: a report proves nothing of a run that its lists may not know yet

Cause: a complete report without a run counted as its end if the report's clock was past the start. A worker that takes its lists before it reads its clock, or that stands still between the two, leaves out what has started meanwhile: several tasks of one worker, whose orders were confirmed, are started elsewhere at once, by the same leader. Change: a report counts if its renewal was sent after the answer to the order, or when the worker's clock was known to be past the order's deadline.

--- a/internal/crankfleet/keeper.go
+++ b/internal/crankfleet/keeper.go
@@ -44,6 +44,7 @@
 type RenewResult struct {
 	crank.RenewReport
 	Sent, Received time.Time
+	SentClock      int64 // newest reading of the worker's clock when the renewal was sent, in ms; 0 for none
 	Err            error
 }
 
@@ -188,9 +189,9 @@
 func (k *LeaseKeeper) renew(ctx context.Context, o crank.RenewOrder) RenewResult {
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+renewTimeout)
 	defer cancel()
-	sent, sentUptime := time.Now(), k.Uptime()
+	sent, sentUptime, sentClock := time.Now(), k.Uptime(), k.workerClock
 	report, err := k.Worker.Renew(callCtx, o)
-	r := RenewResult{RenewReport: report, Sent: sent, Received: time.Now(), Err: err}
+	r := RenewResult{RenewReport: report, Sent: sent, Received: time.Now(), SentClock: sentClock, Err: err}
 	if err == nil {
 		k.mu.Lock()
 		if k.clockRead.IsZero() { // an earlier term may have extended the lease until now
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -315,7 +315,7 @@
 }
 
 // handleStopReply handles the answer to a stop order. A worker that has answered
-// refuses a start of the run that arrives later, so any newer report is conclusive.
+// refuses a start of the run that arrives later.
 func (s *Scheduler) handleStopReply(p *placement, reply crank.OrderReply, err error) {
 	if p.worker.placements[p.id] != p {
 		return
@@ -326,6 +326,6 @@
 	case reply.Refusal == crank.RefusalFence:
 		s.Leadership.Resign("worker " + p.worker.entry.ID + " has seen a higher fence")
 	default:
-		p.conclusiveAfter = min(p.conclusiveAfter, reply.ClockMs)
+		p.conclusiveAfter, p.answeredAt = min(p.conclusiveAfter, reply.ClockMs), time.Now()
 	}
 }
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -46,7 +46,7 @@
 		s.handleActiveRun(w, a, r)
 	}
 	for id, p := range w.placements {
-		if run, ok := listed[id]; !r.Incomplete && (!ok || run != p.run) && r.ClockMs > p.conclusiveAfter {
+		if run, ok := listed[id]; !r.Incomplete && (!ok || run != p.run) && p.isConclusive(r) {
 			s.loseRun(p, "not listed by its worker")
 		}
 	}
@@ -55,6 +55,13 @@
 	}
 }
 
+// isConclusive reports whether a complete report without the run shows that it does not
+// exist. A worker may take its lists before it reads its clock, so that the time of the
+// report proves nothing.
+func (p *placement) isConclusive(r crankfleet.RenewResult) bool {
+	return r.SentClock > p.conclusiveAfter || (!p.answeredAt.IsZero() && r.Sent.After(p.answeredAt))
+}
+
 // checkReadable stops extending the lease of a worker whose reports have rows that can't
 // be read: once it is over, nothing runs there that no report shows.
 func (s *Scheduler) checkReadable(w *worker, r crankfleet.RenewResult) {
@@ -216,11 +223,10 @@
 	s.checkStalled(p, r.Received)
 }
 
-// confirmStart records that a run has started. Any report with a later worker clock
-// is conclusive.
+// confirmStart records that a run has started.
 func (s *Scheduler) confirmStart(p *placement, clock int64) {
 	p.state, p.conclusiveAfter = stateRunning, clock
-	p.progressedAt = time.Now()
+	p.answeredAt, p.progressedAt = time.Now(), time.Now()
 	t := p.task
 	if t == nil {
 		return
@@ -235,7 +241,7 @@
 // run of an earlier term, which continues, or one that its task no longer needs,
 // which is stopped. Of a gang, see endParts.
 func (s *Scheduler) adoptRun(w *worker, a crank.ActiveRun) *placement {
-	p := &placement{id: a.Task, worker: w, run: a.Run, state: stateRunning, startedAt: time.Now(), progressedAt: time.Now(), percent: a.Percent}
+	p := &placement{id: a.Task, worker: w, run: a.Run, state: stateRunning, startedAt: time.Now(), answeredAt: time.Now(), progressedAt: time.Now(), percent: a.Percent}
 	w.placements[a.Task] = p
 	s.changed = true
 	j := s.jobs[a.Task.Job]
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -43,15 +43,18 @@
 
 // placement is a run of a task that holds capacity on a worker.
 type placement struct {
-	id              crank.TaskID
-	task            *task // nil for a run that no task needs
-	worker          *worker
-	run             int64
-	demand          crank.Demand
-	stepKey         string
-	step            *crank.Step
-	state           runState
-	conclusiveAfter int64 // worker's clock; a later report without the run proves that it does not exist
+	id      crank.TaskID
+	task    *task // nil for a run that no task needs
+	worker  *worker
+	run     int64
+	demand  crank.Demand
+	stepKey string
+	step    *crank.Step
+	state   runState
+	// A report without the run proves that it does not exist if its renewal was sent when the
+	// worker's clock was past conclusiveAfter, or after answeredAt, when an answer showed that.
+	conclusiveAfter int64
+	answeredAt      time.Time // zero without an answer
 	startedAt       time.Time
 	endBy           time.Time // when a run of a finished gang is stopped if it has not ended by itself
 	stopRetryAt     time.Time
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -36,6 +36,7 @@
 	Stuck   func(worker string) bool                             // may be nil; runs there make no progress
 	Odd     func(worker string) bool                             // may be nil; its reports have rows that can't be read
 	MaxEnds int                                                  // ended runs listed in one report, 0 for all
+	ListAge time.Duration                                        // from the lists of a report to the reading of its clock
 	// CrossRackSlowdown multiplies the time of a gang with SameRack on several racks, and
 	// of a task off its DataRack. 0 is the same as 1.
 	CrossRackSlowdown float64
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -194,6 +194,10 @@
 	if err != nil {
 		return crank.RenewReport{}, err
 	}
+	if c.fleet.ListAge > 0 {
+		time.Sleep(c.fleet.ListAge)
+		report.ClockMs += c.fleet.ListAge.Milliseconds()
+	}
 	c.fleet.noteReported(c.entry.ID, report)
 	if report.StartTimeMs != c.entry.StartTimeMs {
 		return crank.RenewReport{StartTimeMs: report.StartTimeMs}, crank.Fail("worker hold", crank.KindConflict, "the worker restarted at %d", report.StartTimeMs)
