sched: calls follow a worker to the address at which it is listed

Cause: the client of an incarnation kept the address of its first entry. A worker that got another one was called at the former, where nothing or another worker answers, until its lease was over and its tasks started elsewhere. Change: orders, renewals and the roster follow the newest entry of the incarnation. Result: TestWorkerThatMovesKeepsItsRuns passes; before, all 8 tasks of the worker ran again and it got no more.

--- a/internal/crankfleet/keeper.go
+++ b/internal/crankfleet/keeper.go
@@ -54,6 +54,7 @@
 	acked chan int64
 
 	mu          sync.Mutex
+	worker      crank.LeasedWorker
 	leaseExpiry time.Time // see LeaseExpiry
 	workerClock int64     // worker's clock at clockRead, in ms
 	clockRead   time.Time
@@ -64,7 +65,20 @@
 
 // NewLeaseKeeper returns a keeper. It works while Run runs.
 func NewLeaseKeeper(c LeaseKeeperConfig) *LeaseKeeper {
-	return &LeaseKeeper{LeaseKeeperConfig: c, acked: make(chan int64, 1)}
+	return &LeaseKeeper{LeaseKeeperConfig: c, worker: c.Worker, acked: make(chan int64, 1)}
+}
+
+// Redirect has later renewals sent to the incarnation at another address.
+func (k *LeaseKeeper) Redirect(w crank.LeasedWorker) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.worker = w
+}
+
+func (k *LeaseKeeper) client() crank.LeasedWorker {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.worker
 }
 
 // Ack reports that the ends up to a number are recorded, so that the worker may
@@ -190,7 +204,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, o.Wait+renewTimeout)
 	defer cancel()
 	sent, sentUptime, sentClock := time.Now(), k.Uptime(), k.workerClock
-	report, err := k.Worker.Renew(callCtx, o)
+	report, err := k.client().Renew(callCtx, o)
 	r := RenewResult{RenewReport: report, Sent: sent, Received: time.Now(), SentClock: sentClock, Err: err}
 	if err == nil {
 		k.mu.Lock()
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -91,7 +91,11 @@
 			s.Logger.Info("sched: worker draining", "worker", id, "draining", e.Draining, "running", len(w.placements))
 			s.changed = true
 		}
+		moved := e.Addr != w.entry.Addr
 		w.entry, w.unlistedSince = e, time.Time{}
+		if moved {
+			s.redirect(w)
+		}
 		if e.Draining {
 			s.stopExtending(w)
 		}
@@ -168,6 +172,16 @@
 	s.Logger.Warn("sched: history of the worker list not read in time", "from", from, "next", next)
 }
 
+// redirect sends orders and renewals to the address at which an incarnation is listed now.
+func (s *Scheduler) redirect(w *worker) {
+	s.Logger.Info("sched: worker has another address", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "addr", w.entry.Addr, "running", len(w.placements))
+	w.client = s.Workers.LeasedWorker(w.entry)
+	w.keeper.Redirect(w.client)
+	if s.roster.addrs[w.incarnation] != "" {
+		s.roster.addrs[w.incarnation], s.roster.stale = w.entry.Addr, true
+	}
+}
+
 // askNext asks the next incarnation of a worker for its runs before it is listed.
 func (s *Scheduler) askNext(w *worker, startTimeMs int64) {
 	s.addWorker(crank.WorkerEntry{ID: w.entry.ID, StartTimeMs: startTimeMs, Addr: w.entry.Addr})
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -147,6 +147,16 @@
 	}
 }
 
+// Move gives a worker another address, at which its process goes on. Another worker gets the
+// former one. It returns the new entry.
+func (f *Fleet) Move(id, addr string) crank.WorkerEntry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[id]
+	w.entry.Addr = addr
+	return w.entry
+}
+
 // Replace ends a worker's process and its runs. Another worker gets its address, which
 // answers that it is another one.
 func (f *Fleet) Replace(id string) {
@@ -390,7 +400,7 @@
 	switch {
 	case w == nil || w.isSilent():
 		return crank.Fail(op, crank.KindUnknown, "the worker is down")
-	case w.replaced:
+	case w.replaced || w.entry.Addr != c.entry.Addr:
 		return crank.Fail(op, crank.KindNotFound, "another worker has this address now")
 	case w.left:
 		return crank.Fail(op, crank.KindRefused, "nothing listens at the worker's address")
