One package decides what may free a run

Change: crankevidence takes what is known of an incarnation, a run, a report or a reply, and gives a verdict with its evidence and what is left of the lease. Releasing a run or taking an incarnation out of the roster needs a verdict that only this package can make; one without evidence is logged as an error and frees nothing. Log lines name the evidence.

Two cases are judged otherwise than before. The end of leases that this term granted has to be confirmed too where the worker's reports were incomplete. Runs of a worker whose rows can't be read are free once its lease is over, also while it answers.

--- a/internal/crankfleet/keeper.go
+++ b/internal/crankfleet/keeper.go
@@ -6,6 +6,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/internal/crankevidence"
 	"cranberrycrank/internal/crankfeed"
 )
 
@@ -19,8 +20,6 @@
 	renewRetryDelay   = 150 * time.Millisecond // after a failed renewal or while the term is not valid
 	ackWait           = 200 * time.Millisecond // longest wait for reported ends to be recorded
 	unackedRenewDelay = 400 * time.Millisecond // extra delay while ends are not recorded
-	clockDrift        = 1.03                   // a worker's clock may be 2% slow
-	leaseMargin       = 300 * time.Millisecond // added before a lease counts as expired
 )
 
 // SilentRenewals is the number of failed renewals in a row that show that a worker is
@@ -112,7 +111,7 @@
 	if d = min(d, k.Limit()-age/40); d <= 0 { // the clock may have fallen behind meanwhile
 		return 0
 	}
-	k.mayLastUntil(now.Add(time.Duration(float64(d+age/20)*clockDrift) + leaseMargin))
+	k.mayLastUntil(crankevidence.LeaseEnd(now, d, age))
 	return k.workerClock + (age + d).Milliseconds()
 }
 
@@ -209,7 +208,7 @@
 	if err == nil {
 		k.mu.Lock()
 		if k.clockRead.IsZero() { // an earlier term may have extended the lease until now
-			expiry := r.Received.Add(time.Duration(float64(k.MaxLease)*clockDrift) + leaseMargin)
+			expiry := crankevidence.LeaseEnd(r.Received, k.MaxLease, 0)
 			if k.Former.Before(expiry) {
 				expiry = k.Former
 			}
--- a/internal/cranksched/gang.go
+++ b/internal/cranksched/gang.go
@@ -1,5 +1,7 @@
 package cranksched
 
+import "cranberrycrank/internal/crankevidence"
+
 // abandonGang stops the other members of a run whose gang can't be complete.
 func (s *Scheduler) abandonGang(p *placement, why string) {
 	if p.task == nil || !p.step.Gang {
@@ -14,11 +16,11 @@
 
 // loseRun releases a run that ended without a result. Members of its gang that have started
 // would wait for one that has not.
-func (s *Scheduler) loseRun(p *placement, why string) {
+func (s *Scheduler) loseRun(p *placement, why string, v crankevidence.Verdict) {
 	if p.state == stateOrdered {
 		s.abandonGang(p, "a gang member's start had no effect")
 	}
-	s.release(p, why)
+	s.release(p, why, v)
 }
 
 // endParts stops the adopted members of gangs that an earlier term started in part. Such a
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -250,14 +250,16 @@
 	if err == nil && reply.Refusal == crank.RefusalFence {
 		s.Leadership.Resign("worker " + p.worker.entry.ID + " has seen a higher fence")
 	}
-	why := ""
-	switch kind := crank.KindOf(err); {
-	case uncertain:
+	v := p.known().JudgeReply(reply, uncertain, err)
+	if !v.Over() {
 		s.Logger.Warn("sched: start without an answer", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "until", p.conclusiveAfter, "last-refusal", reply.Refusal, "error", err)
 		if p.state == stateOrdered && p.step.Gang {
 			s.stopRun(p, "a gang member's start got no answer")
 		}
 		return
+	}
+	why := ""
+	switch kind := crank.KindOf(err); {
 	case err == nil:
 		why = "refused: " + string(reply.Refusal)
 	case kind == crank.KindNotFound || kind == crank.KindConflict:
@@ -278,7 +280,7 @@
 		p.task.avoidWorker(p.worker.entry.ID)
 	}
 	s.abandonGang(p, "a gang member's start was refused")
-	s.release(p, why)
+	s.release(p, why, v)
 }
 
 // stopRun stops a run and the other members of its gang. The run keeps its capacity
@@ -288,7 +290,7 @@
 		return
 	}
 	if p.state == statePlanned {
-		s.release(p, why)
+		s.release(p, why, p.known().JudgePlanned())
 		return
 	}
 	p.state, p.reason = stateStopping, why
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -4,6 +4,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/internal/crankevidence"
 	"cranberrycrank/internal/crankfleet"
 )
 
@@ -40,14 +41,13 @@
 			s.handleEndedRun(w, e)
 		}
 	}
-	listed := make(map[crank.TaskID]int64, len(r.Active))
 	for _, a := range r.Active {
-		listed[a.Task] = a.Run
 		s.handleActiveRun(w, a, r)
 	}
-	for id, p := range w.placements {
-		if run, ok := listed[id]; !r.Incomplete && (!ok || run != p.run) && p.isConclusive(r) {
-			s.loseRun(p, "not listed by its worker")
+	report := crankevidence.NewReport(r.RenewReport, r.Sent, r.SentClock)
+	for _, p := range w.placements {
+		if v := p.known().JudgeReport(report); v.Over() {
+			s.loseRun(p, "not listed by its worker", v)
 		}
 	}
 	if len(r.Ended) > 0 {
@@ -55,13 +55,6 @@
 	}
 }
 
-// isConclusive reports whether a complete report without the run shows that it does not
-// exist. A worker may take its lists before it reads its clock, so that the time of the
-// report proves nothing.
-func (p *placement) isConclusive(r crankfleet.RenewResult) bool {
-	return r.SentClock > p.conclusiveAfter || (!p.answeredAt.IsZero() && r.Sent.After(p.answeredAt))
-}
-
 // checkReadable stops extending the lease of a worker whose reports have rows that can't
 // be read: once it is over, nothing runs there that no report shows.
 func (s *Scheduler) checkReadable(w *worker, r crankfleet.RenewResult) {
@@ -73,30 +66,15 @@
 	}
 }
 
-// accountFor handles the first complete report of an incarnation. The worker refuses the
-// orders of earlier terms by now, and the report shows what their orders started.
-func (s *Scheduler) accountFor(w *worker) {
-	s.markAccounted(w.incarnation)
-	s.accountForFormer(w)
-}
-
-// accountForFormer accounts for the incarnations of a worker before one that is known to
-// have begun. No order for them takes effect at that one.
-func (s *Scheduler) accountForFormer(w *worker) {
-	for _, former := range s.roster.formerOf(w) {
-		if _, started, _ := crankfleet.ParseIncarnation(former); started < w.entry.StartTimeMs {
-			s.markAccounted(former)
-			s.roster.remove(former)
-		}
-	}
-}
-
 // handleRenewError handles a failed renewal. The start time is that of the incarnation
 // that answered, or 0.
 func (s *Scheduler) handleRenewError(w *worker, startTimeMs int64, err error) {
-	if w.hasRestarted(startTimeMs, err) {
-		s.endIncarnation(w, err.Error())
-		s.askNext(w, startTimeMs)
+	if crank.KindOf(err) == crank.KindConflict {
+		w.laterMs = max(w.laterMs, startTimeMs)
+	}
+	if v := s.judge(w, time.Now()); v.Evidence() == crankevidence.Restarted {
+		s.endIncarnation(w, v)
+		s.askNext(w, w.laterMs)
 		return
 	}
 	switch crank.KindOf(err) {
@@ -121,13 +99,17 @@
 // than the task's current one, only success or failure is counted.
 func (s *Scheduler) handleEndedRun(w *worker, e crank.EndedRun) {
 	p := w.placements[e.Task]
-	if p != nil && p.run > e.Run {
+	var v crankevidence.Verdict
+	if p != nil {
+		v = p.known().JudgeEnd(e)
+	}
+	if !v.Over() {
 		p = nil
 	}
 	j := s.jobs[e.Task.Job]
 	if j == nil {
 		if p != nil {
-			s.release(p, "")
+			s.release(p, "", v)
 		}
 		return
 	}
@@ -137,7 +119,7 @@
 	}
 	t.lastRun = max(t.lastRun, e.Run)
 	if p != nil {
-		s.release(p, "")
+		s.release(p, "", v)
 	}
 	current := t.placement == nil || t.placement.run <= e.Run
 	s.Logger.Info("sched: run ended", "task", e.Task, "run", e.Run, "worker", w.entry.ID, "how", e.Kind, "number", e.Number, "current", current, "checkpoint", e.Checkpoint != "")
@@ -285,10 +267,3 @@
 	}
 	return e.Job.Steps[id.Step].ReservedCapacity()
 }
-
-// hasRestarted reports whether a failed renewal shows that a later incarnation of the worker
-// has begun. That another worker has its address does not: the incarnation may live at
-// another one.
-func (w *worker) hasRestarted(startTimeMs int64, err error) bool {
-	return crank.KindOf(err) == crank.KindConflict && startTimeMs > w.entry.StartTimeMs
-}
--- a/internal/cranksched/standing.go
+++ b/internal/cranksched/standing.go
@@ -74,7 +74,7 @@
 	switch {
 	case silent != nil:
 		w := silent.placement.worker
-		return standing{job: j, task: silent.id, why: standsSilent, since: w.silentSince, worker: w.incarnation, until: s.leaseEnd(w)}, true
+		return standing{job: j, task: silent.id, why: standsSilent, since: w.silentSince, worker: w.incarnation, until: s.leaseOf(w).End()}, true
 	case planned != nil:
 		return standing{job: j, task: planned.id, why: standsPlanned, since: planned.waitingSince}, true
 	case waiting == nil:
--- a/internal/cranksched/witnessed.go
+++ b/internal/cranksched/witnessed.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cranberrycrank/internal/crankevidence"
 	"cranberrycrank/internal/crankjobs"
 )
 
@@ -20,7 +21,7 @@
 				continue
 			}
 			t := j.task(d.Task())
-			if t == nil || t.done || t.hasRunAfter(d.Run) {
+			if t == nil || t.done || !crankevidence.JudgeWitnessed(d.Run, t.newestRun()).Over() {
 				continue
 			}
 			s.Logger.Info("sched: end witnessed by another instance", "task", t.id, "run", d.Run, "incarnation", e.Incarnation)
@@ -30,16 +31,17 @@
 	}
 }
 
-// hasRunAfter reports whether a run of the task or its gang has a higher number.
-func (t *task) hasRunAfter(run int64) bool {
+// newestRun returns the highest number of a run of the task or its gang that is known.
+func (t *task) newestRun() (run int64) {
 	members := []*task{t}
 	if t.step.Gang {
 		members = t.members()
 	}
 	for _, m := range members {
-		if m.lastRun > run || (m.placement != nil && m.placement.run > run) {
-			return true
+		run = max(run, m.lastRun)
+		if m.placement != nil {
+			run = max(run, m.placement.run)
 		}
 	}
-	return false
+	return run
 }
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -5,6 +5,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/internal/crankevidence"
 	"cranberrycrank/internal/crankfeed"
 	"cranberrycrank/internal/crankfleet"
 )
@@ -20,6 +21,7 @@
 	accounted        bool      // with a complete report
 	unreadable       bool      // its last report had rows that can't be read
 	failedRenewals   int       // since the last answer
+	laterMs          int64     // start time of another incarnation that is listed or has answered
 	silentSince      time.Time // of the first of them
 	ending           bool      // its lease is not extended
 	endingStored     bool      // a roster that says so may be stored
@@ -73,14 +75,13 @@
 	entries := s.list.Entries()
 	for id, e := range entries {
 		w, known := s.workers[id]
-		switch {
-		case !known || w.ended || e.StartTimeMs == w.entry.StartTimeMs:
-		case e.StartTimeMs > w.entry.StartTimeMs:
-			s.endIncarnation(w, "a newer incarnation is listed")
-		case w.failedRenewals > 0 && s.leaseExpired(w, now):
-			s.endIncarnation(w, "its lease is over, an earlier start time is listed")
-		default:
-			continue // see askNext
+		if known && !w.ended && e.StartTimeMs != w.entry.StartTimeMs {
+			w.laterMs = max(w.laterMs, e.StartTimeMs)
+			v := s.judge(w, now)
+			if !v.Over() {
+				continue // see askNext
+			}
+			s.endIncarnation(w, v)
 		}
 		known = known && e.StartTimeMs == w.entry.StartTimeMs
 		if !known {
@@ -111,12 +112,8 @@
 		if w.unlistedSince.IsZero() {
 			w.unlistedSince = now
 		}
-		switch {
-		case w.ended:
-		case w.failedRenewals > 0 && s.list.HasLeft(id, w.entry.StartTimeMs):
-			s.endIncarnation(w, "it has left")
-		case w.failedRenewals > 0 && now.Sub(w.unlistedSince) > unlistedGrace && s.leaseExpired(w, now):
-			s.endIncarnation(w, "no longer listed")
+		if v := s.judge(w, now); !w.ended && v.Over() && (v.Evidence() != crankevidence.LeaseOver || now.Sub(w.unlistedSince) > unlistedGrace) {
+			s.endIncarnation(w, v)
 		}
 		if w.ended {
 			delete(s.workers, id)
@@ -214,117 +211,6 @@
 	go w.keeper.Run(ctx)
 }
 
-// endIncarnation releases all runs of an incarnation that has ended.
-func (s *Scheduler) endIncarnation(w *worker, reason string) {
-	w.stop()
-	w.ended = true
-	s.Logger.Info("sched: worker incarnation ended", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "reason", reason, "lost", len(w.placements),
-		"listed", w.unlistedSince.IsZero(), "draining", w.entry.Draining, "answered", w.answered, "failed-holds", w.failedRenewals, "lease-left", s.leaseLeft(w, time.Now()).Round(time.Millisecond))
-	s.markAccounted(w.incarnation)
-	s.roster.remove(w.incarnation)
-	s.accountForFormer(w)
-	for _, p := range w.placements {
-		s.loseRun(p, "worker incarnation ended")
-	}
-	delete(s.acks, w)
-	s.changed = true
-}
-
-// markAccounted records that the runs of an inherited incarnation are known, or can
-// no longer exist.
-func (s *Scheduler) markAccounted(incarnation string) {
-	if _, ok := s.unaccounted[incarnation]; !ok {
-		return
-	}
-	delete(s.unaccounted, incarnation)
-	if len(s.unaccounted) == 0 {
-		s.Logger.Info("sched: all workers accounted for", "term", s.Term)
-	}
-	s.changed = true
-}
-
-// checkTimeouts releases runs whose worker's lease has expired without an answer,
-// stops waiting for unaccounted workers whose lease has expired, and repeats stop
-// orders without effect.
-func (s *Scheduler) checkTimeouts(now time.Time) {
-	for incarnation, until := range s.unaccounted {
-		if s.hasLapsed(incarnation, until, now) {
-			s.Logger.Warn("sched: worker not accounted for, its lease has expired", "incarnation", incarnation)
-			s.markAccounted(incarnation)
-			if id, _, _ := crankfleet.ParseIncarnation(incarnation); s.workers[id] == nil {
-				s.roster.remove(incarnation)
-			}
-		}
-	}
-	s.recordPlaces(now)
-	for _, w := range s.workers {
-		if w.ended {
-			continue
-		}
-		if w.failedRenewals > 0 && len(w.placements) > 0 && s.leaseExpired(w, now) {
-			s.Scope.Counter("leases_lapsed").Inc(1)
-			s.Logger.Warn("sched: lease expired without an answer", "worker", w.entry.ID, "born", w.entry.StartTimeMs, "lost", len(w.placements))
-			for _, p := range w.placements {
-				s.loseRun(p, "lease expired")
-			}
-		}
-		for _, p := range w.placements {
-			if p.state == stateStopping && now.After(p.stopRetryAt) {
-				s.sendStop(p)
-			}
-			if p.state == statePlanned && s.writeOverdue(now) {
-				s.release(p, "the store has not answered")
-			}
-		}
-	}
-}
-
-// hasLapsed reports whether the lease of an incarnation of the inherited roster is over,
-// which is so after a given time unless it has answered in this term. No planner of an
-// earlier term extends the lease of one that has; this one does until its reports turn out
-// to be unreadable.
-func (s *Scheduler) hasLapsed(incarnation string, until, now time.Time) bool {
-	id, _, _ := crankfleet.ParseIncarnation(incarnation)
-	if w := s.workers[id]; w != nil && w.incarnation == incarnation && w.answered {
-		expiry := w.keeper.LeaseExpiry()
-		if !now.After(expiry) {
-			return false
-		}
-		if w.unreadable && w.ending {
-			return s.Leadership.ConfirmedAfter(expiry)
-		}
-	}
-	return now.After(until) && s.Leadership.ConfirmedAfter(until)
-}
-
-// leaseEnd returns by when all runs at a worker have stopped unless its lease is extended.
-func (s *Scheduler) leaseEnd(w *worker) time.Time {
-	until, ok := s.unaccounted[w.incarnation]
-	if ok && !w.answered { // nothing was granted in this term
-		return until
-	}
-	if expiry := w.keeper.LeaseExpiry(); expiry.After(until) {
-		return expiry
-	}
-	return until
-}
-
-// leaseLeft returns how long the lease of a worker may last, 0 if it is over.
-func (s *Scheduler) leaseLeft(w *worker, now time.Time) time.Duration {
-	return max(0, s.leaseEnd(w).Sub(now))
-}
-
-// leaseExpired reports whether all runs at a worker have stopped: the lease that this
-// planner or an earlier one granted is over, and no later planner can have extended it
-// before that.
-func (s *Scheduler) leaseExpired(w *worker, now time.Time) bool {
-	if _, ok := s.unaccounted[w.incarnation]; ok {
-		return false
-	}
-	expiry := w.keeper.LeaseExpiry()
-	return now.After(expiry) && s.Leadership.ConfirmedAfter(expiry)
-}
-
 // stopExtending leaves the lease of a worker as it is. From when that is stored, a later
 // planner knows how long the lease may last.
 func (s *Scheduler) stopExtending(w *worker) {
@@ -347,26 +233,3 @@
 		s.changed = true
 	}
 }
-
-// release frees the capacity of a run that no longer exists. Its task waits again
-// unless it is done. The other members of a gang that is planned are released with it.
-func (s *Scheduler) release(p *placement, why string) {
-	delete(p.worker.placements, p.id)
-	s.changed = true
-	if p.task == nil || p.task.placement != p {
-		return
-	}
-	p.task.placement = nil
-	if p.state != statePlanned {
-		p.task.waitingSince = time.Now()
-	}
-	p.task.job.placed--
-	if why != "" {
-		w, now := p.worker, time.Now()
-		s.Logger.Info("sched: run released", "task", p.id, "run", p.run, "worker", w.entry.ID, "born", w.entry.StartTimeMs, "state", p.state, "why", why,
-			"failed-holds", w.failedRenewals, "listed", w.unlistedSince.IsZero(), "lease-left", s.leaseLeft(w, now).Round(time.Millisecond))
-	}
-	if p.state == statePlanned {
-		s.abandonGang(p, why)
-	}
-}
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -130,7 +130,7 @@
 		}
 		w.endingStored = true
 		s.roster.limited[w.incarnation] = true
-		left[w.incarnation] = s.leaseLeft(w, now).Milliseconds()
+		left[w.incarnation] = s.leaseOf(w).Left(now).Milliseconds()
 	}
 	return left
 }
