sched: an entry ends no incarnation that answers

Cause: a listed entry with a later start time ended the incarnation that answered, and a new leader took the one at the place of a task for over. It may be the last entry of the incarnation before, whose time of day was ahead, stored late. Change: an entry counts once the incarnation is silent, or the listed one itself is; else the answer of the later one does, which is asked at once. The roster has the address at which a worker answers.

--- a/internal/crankevidence/incarnation_test.go
+++ b/internal/crankevidence/incarnation_test.go
@@ -31,6 +31,10 @@
 		{"departed but answers", Incarnation{StartTimeMs: 5, Answers: true, Readable: true, Departed: true, Lease: granted}, 0, true, None},
 		{"departed but answers what can't be read", Incarnation{StartTimeMs: 5, Answers: true, Departed: true, Lease: granted}, 0, true, None},
 		{"later incarnation", Incarnation{StartTimeMs: 5, Answers: true, Readable: true, Lease: granted}.WithOther(6), 0, false, Restarted},
+		{"later incarnation listed, answers", Incarnation{StartTimeMs: 5, Answers: true, Readable: true, Lease: granted}.WithListed(6), 0, true, None},
+		{"later incarnation listed, one renewal failed", Incarnation{StartTimeMs: 5, Lease: granted}.WithListed(6), 0, true, None},
+		{"later incarnation listed, silent", Incarnation{StartTimeMs: 5, Silent: true, Lease: granted}.WithListed(6), 0, false, Restarted},
+		{"earlier incarnation listed, silent", Incarnation{StartTimeMs: 5, Silent: true, Lease: granted}.WithListed(4), 0, true, None},
 		{"earlier incarnation", Incarnation{StartTimeMs: 5, Readable: true, Lease: granted}.WithOther(4), 0, true, None},
 		{"later, then earlier incarnation", Incarnation{StartTimeMs: 5, Lease: granted}.WithOther(6).WithOther(4), 0, true, Restarted},
 	} {
--- a/internal/cranksched/evidence.go
+++ b/internal/cranksched/evidence.go
@@ -11,7 +11,8 @@
 func (s *Scheduler) judge(w *worker, now time.Time) crankevidence.Verdict {
 	lease := s.leaseOf(w)
 	known := crankevidence.Incarnation{
-		StartTimeMs: w.entry.StartTimeMs, Answers: w.failedRenewals == 0, Readable: !w.unreadable, LaterMs: w.laterMs,
+		StartTimeMs: w.entry.StartTimeMs, Answers: w.failedRenewals == 0, Silent: w.failedRenewals >= crankfleet.SilentRenewals, Readable: !w.unreadable,
+		LaterMs: w.laterMs, ListedMs: w.listedMs,
 		Departed: s.list.HasLeft(w.entry.ID, w.entry.StartTimeMs), Lease: lease,
 	}
 	return known.Judge(now, s.Leadership.ConfirmedAfter(lease.End()))
@@ -63,14 +64,17 @@
 	s.accountForFormer(w)
 }
 
-// accountForFormer accounts for the incarnations of a worker before one that is known to
-// have begun. No order for them takes effect at that one.
+// accountForFormer accounts for the incarnations of a worker before one that has answered, or
+// that is listed while nobody answers. No order for them takes effect at that one.
 func (s *Scheduler) accountForFormer(w *worker) {
 	for _, former := range s.roster.formerOf(w) {
 		_, started, _ := crankfleet.ParseIncarnation(former)
-		known := crankevidence.Incarnation{StartTimeMs: started}.WithOther(w.entry.StartTimeMs)
-		if known.HasRestarted() {
-			s.markOver(former, known.Judge(time.Now(), false))
+		known := crankevidence.Incarnation{StartTimeMs: started, Silent: !w.contradicted}.WithListed(w.entry.StartTimeMs)
+		if w.answered {
+			known = known.WithOther(w.entry.StartTimeMs)
+		}
+		if v := known.Judge(time.Now(), false); v.Over() {
+			s.markOver(former, v)
 		}
 	}
 }
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -71,6 +71,7 @@
 func (s *Scheduler) handleRenewError(w *worker, startTimeMs int64, err error) {
 	if crank.KindOf(err) == crank.KindConflict {
 		w.laterMs = max(w.laterMs, startTimeMs)
+		w.contradicted = startTimeMs < w.entry.StartTimeMs
 	}
 	if v := s.judge(w, time.Now()); v.Evidence() == crankevidence.Restarted {
 		s.endIncarnation(w, v)
@@ -92,6 +93,7 @@
 	w.failedRenewals++
 	if w.failedRenewals == crankfleet.SilentRenewals {
 		s.stopExtending(w)
+		s.accountForFormer(w)
 	}
 }
 
--- a/internal/cranksched/roster.go
+++ b/internal/cranksched/roster.go
@@ -41,7 +41,7 @@
 
 // add adds the incarnation of a worker that has answered.
 func (r *roster) add(w *worker) {
-	if !r.numbered[w.incarnation] || r.addrs[w.incarnation] == "" {
+	if !r.numbered[w.incarnation] || r.addrs[w.incarnation] != w.entry.Addr {
 		r.addrs[w.incarnation], r.stale = w.entry.Addr, true
 	}
 	if r.numbers[w.incarnation] == 0 {
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -21,7 +21,9 @@
 	accounted        bool      // with a complete report
 	unreadable       bool      // its last report had rows that can't be read
 	failedRenewals   int       // since the last answer
-	laterMs          int64     // start time of another incarnation that is listed or has answered
+	laterMs          int64     // start time of another incarnation that has answered, 0 for none
+	listedMs         int64     // start time of another incarnation that is listed, 0 for none
+	contradicted     bool      // an earlier incarnation has answered
 	silentSince      time.Time // of the first of them
 	ending           bool      // its lease is not extended
 	endingStored     bool      // a roster that says so may be stored
@@ -76,7 +78,10 @@
 	for id, e := range entries {
 		w, known := s.workers[id]
 		if known && !w.ended && e.StartTimeMs != w.entry.StartTimeMs {
-			w.laterMs = max(w.laterMs, e.StartTimeMs)
+			if w.listedMs != e.StartTimeMs {
+				w.listedMs = e.StartTimeMs
+				s.askListed(w, e)
+			}
 			v := s.judge(w, now)
 			if !v.Over() {
 				continue // see askNext
@@ -185,6 +190,32 @@
 	s.workers[w.entry.ID].unlistedSince = time.Now()
 }
 
+// askListed asks whether a later incarnation has begun that is listed, without waiting for
+// the renewal that is under way.
+func (s *Scheduler) askListed(w *worker, e crank.WorkerEntry) {
+	if e.StartTimeMs < w.entry.StartTimeMs || !s.Leadership.Valid() {
+		return
+	}
+	client := s.Workers.LeasedWorker(e)
+	go func() {
+		ctx, cancel := context.WithTimeout(s.ctx, startTimeout)
+		defer cancel()
+		if _, err := client.Renew(ctx, crank.RenewOrder{Fence: s.Term}); err != nil {
+			return // the renewals tell
+		}
+		s.post(func() {
+			if w.ended {
+				return
+			}
+			w.laterMs = max(w.laterMs, e.StartTimeMs)
+			if v := s.judge(w, time.Now()); v.Over() {
+				s.endIncarnation(w, v)
+				s.addWorker(e)
+			}
+		})
+	}()
+}
+
 // addWorker starts to renew the lease of a new incarnation.
 func (s *Scheduler) addWorker(e crank.WorkerEntry) {
 	ctx, stop := context.WithCancel(s.ctx)
@@ -201,7 +232,6 @@
 		OnRenew:  func(r crankfleet.RenewResult) { s.post(func() { s.handleReport(w, r) }) },
 	})
 	s.workers[e.ID] = w
-	s.accountForFormer(w)
 	if s.roster.limited[w.incarnation] {
 		w.endingStored = true
 	}
