A slow worker's lease is extended

Cause: since renewals are bound to an incarnation one on a new connection took two answers, that to the check of the connection and its own, within the time of one. It was given up in the second and took the connection with it: a worker that takes 350 ms or more for an answer was out of reach for good.

--- a/internal/crankfleet/keeper.go
+++ b/internal/crankfleet/keeper.go
@@ -16,7 +16,7 @@
 	maxRenewWait      = 1500 * time.Millisecond // longest wait of one renewal for an end; four fit into the shortest lease
 	shortLeaseLimit   = 4 * time.Second         // while leases may not last longer, renewals wait shortRenewWait, so that they are extended as soon as they may be
 	shortRenewWait    = 300 * time.Millisecond
-	renewTimeout      = 700 * time.Millisecond // of one renewal, beyond its wait
+	renewTimeout      = 700 * time.Millisecond // of one answer, beyond the wait
 	renewRetryDelay   = 150 * time.Millisecond // after a failed renewal or while the term is not valid
 	ackWait           = 200 * time.Millisecond // longest wait for reported ends to be recorded
 	unackedRenewDelay = 400 * time.Millisecond // extra delay while ends are not recorded
@@ -60,6 +60,7 @@
 	readUptime  time.Duration // at clockRead
 	ending      bool          // the lease is not extended
 	ackedEnd    int64         // ends up to this number are recorded; used by Run only
+	extended    bool          // the last renewal extended the lease; used by Run only
 }
 
 // NewLeaseKeeper returns a keeper. It works while Run runs.
@@ -200,11 +201,16 @@
 }
 
 func (k *LeaseKeeper) renew(ctx context.Context, o crank.RenewOrder) RenewResult {
-	callCtx, cancel := context.WithTimeout(ctx, o.Wait+renewTimeout)
+	timeout := o.Wait + renewTimeout
+	if o.DeadlineMs > 0 && !k.extended { // a new connection takes an answer as well
+		timeout += renewTimeout
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	sent, sentUptime, sentClock := time.Now(), k.Uptime(), k.workerClock
 	report, err := k.client().Renew(callCtx, o)
 	r := RenewResult{RenewReport: report, Sent: sent, Received: time.Now(), SentClock: sentClock, Err: err}
+	k.extended = err == nil && o.DeadlineMs > 0
 	if err == nil {
 		k.mu.Lock()
 		if k.clockRead.IsZero() { // an earlier term may have extended the lease until now
