gate: no job is told as running by an old state

Cause: state requests were answered from the replica of the job topic at any age, as long as the configuration was current and the leader could not be asked or had not read the end either. `in_progress` was told 3.5 s after another instance had told `completed`. Change: that a job has not ended is told only by a state of at most 2.5 s, the age that readiness allows. Else the request waits up to 0.9 s for a newer one, then gets 503. Ends are told at any age.

--- a/internal/crankgate/gate.go
+++ b/internal/crankgate/gate.go
@@ -38,7 +38,7 @@
 	// version of the configuration to take effect.
 	defaultConfigBound = 2 * time.Second
 	configMargin       = 300 * time.Millisecond  // part of the configuration's bound that is left for handling a request
-	maxStateAge        = 2500 * time.Millisecond // maximum age of the job state for readiness and for counts of waiting jobs
+	maxStateAge        = 2500 * time.Millisecond // maximum age of the job state for readiness, for counts of waiting jobs and for jobs that have not ended
 	refreshTimeout     = 900 * time.Millisecond  // longest wait for a newer state before a job counts as unknown
 	maxEndWait         = 200 * time.Millisecond  // longest wait for the end of a job whose state is requested; several times what storing an end takes
 	responseMargin     = 100 * time.Millisecond  // part of a caller's deadline reserved for sending the response
@@ -116,7 +116,7 @@
 
 // Ready reports whether the configuration and the job state are recent enough.
 func (h *RequestHandler) Ready() bool {
-	return h.current(h.Operator.View()) && time.Since(h.Jobs.View().AsOf) < maxStateAge
+	return h.current(h.Operator.View()) && recent(h.Jobs.View())
 }
 
 // current reports whether requests may be answered from a view.
