witness: each instance stores the ends that it saw under its own key

Cause: the two instances that watch a draining worker wrote under one key, of which the store keeps the newest record. One that had seen fewer ends and wrote last took the others' ends away, and the next leader started those tasks again. Change: the key ends with a hash of the witness, the record names it.

Result: TestEndsThatOnlyOneWitnessSawCount passes; before, the second task ran again (3 runs of 2 tasks).

--- a/internal/crankjobs/state.go
+++ b/internal/crankjobs/state.go
@@ -87,7 +87,7 @@
 	reserved         int64 // sum of the jobs'
 	jobs             *immutable.Map[string, RecordedJob]
 	instances        *immutable.Map[string, seenAnnouncement]
-	ends             *immutable.Map[string, seenEnds] // by incarnation
+	ends             *immutable.Map[string, seenEnds] // by key, without its prefix
 }
 
 // NewState returns the state of an empty topic.
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -279,8 +279,8 @@
 	for _, id := range silent {
 		groups = append(groups, []crank.KeyedRecord{crankjobs.InstanceRemovalRecord(id)})
 	}
-	for _, incarnation := range witnessed {
-		groups = append(groups, []crank.KeyedRecord{crankjobs.WitnessedEndsRemovalRecord(incarnation)})
+	for _, key := range witnessed {
+		groups = append(groups, []crank.KeyedRecord{crankjobs.WitnessedEndsRemovalRecord(key)})
 	}
 	go func() {
 		var failure error
--- a/internal/crankwitness/witness.go
+++ b/internal/crankwitness/witness.go
@@ -179,7 +179,7 @@
 			continue
 		}
 		done := watched.ends.listed
-		record, err := crankjobs.WitnessedEndsRecord(crankjobs.WitnessedEnds{Incarnation: incarnation, Done: done})
+		record, err := crankjobs.WitnessedEndsRecord(crankjobs.WitnessedEnds{Incarnation: incarnation, Witness: w.Instance, Done: done})
 		if err != nil {
 			w.Logger.Error("witness: ends not encoded", "incarnation", incarnation, "error", err)
 			continue
