sched: a stored end is not written again

Cause: what the last runs of a failed job left, as the checkpoint of one that was stopped, had its record written again. A cancellation that was stored after the end then came before the record, and counted as first: the job was told as failed, then as cancelled. Change: once the end of a job is stored, its record is written again only with another end. Acknowledgements don't wait for it, since no task of an ended job is started again.

--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -20,6 +20,7 @@
 	inherited      bool // an earlier term may have started tasks of it
 	cancelled      bool
 	hasOutcome     bool
+	storedOutcome  crankjobs.Outcome   // in the newest record that is stored
 	refused        bool                // by the store: its progress can't be recorded
 	open           map[int]*occurrence // by number: the due ones that are not done
 	next           int                 // the first occurrence that is neither open nor done
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -32,6 +32,7 @@
 	if s.writing || time.Now().Before(s.retryAt) {
 		return
 	}
+	s.dropRecordedEnds()
 	if len(s.dirty) == 0 && !s.roster.stale {
 		s.acknowledge(s.acks)
 		clear(s.acks)
@@ -74,6 +75,20 @@
 	}()
 }
 
+// dropRecordedEnds leaves out jobs whose end is stored. Written again, it would come after a
+// cancellation that it came before, and nothing else in the record counts any more.
+func (s *Scheduler) dropRecordedEnds() {
+	for id, j := range s.dirty {
+		if j.storedOutcome == crankjobs.OutcomeNone || j.storedOutcome != j.progress.Outcome {
+			continue
+		}
+		delete(s.dirty, id)
+		if j.placed == 0 {
+			s.dropEnded(j)
+		}
+	}
+}
+
 // takeUnrecorded returns the places that the next record is the first to hold.
 func (j *job) takeUnrecorded() []recordedPlace {
 	places := make([]recordedPlace, 0, len(j.unrecorded))
@@ -201,7 +216,7 @@
 
 func (s *Scheduler) handleStoredProgress(j *job, record crankjobs.Progress, stored crank.OffsetRange) {
 	s.publishStoredEnd(j, record.Outcome, stored)
-	j.claimed = true
+	j.claimed, j.storedOutcome = true, record.Outcome
 	if j.ending() && j.placed == 0 {
 		s.dropEnded(j)
 	}
--- a/internal/cranksched/write_test.go
+++ b/internal/cranksched/write_test.go
@@ -105,3 +105,27 @@
 	r.confirm(r.record(1, 10))
 	is.True(r.numbered[w.incarnation])
 }
+
+// A stored end that was written again came after a cancellation that it came before.
+func TestStoredEndIsWrittenOnce(t *testing.T) {
+	is := is.New(t)
+	s := fullFleet(0.01)
+	s.Logger = slog.New(slog.DiscardHandler)
+	j := s.benchJob("job", 1, crank.Demand{})
+	earlier := j.progress
+	s.setOutcome(j, crankjobs.OutcomeFailed, "")
+	stored := []crankfeed.AppendResult{{Stored: crank.OffsetRange{First: 0, End: 1}}}
+	s.handleWriteResults(writtenProgress{jobs: []*job{j}, records: []crankjobs.Progress{earlier}}, stored)
+	s.dropRecordedEnds()
+	is.Equal(len(s.dirty), 1) // only a record without the end is stored
+
+	s.handleWriteResults(writtenProgress{jobs: []*job{j}, records: []crankjobs.Progress{j.progress}}, stored)
+	s.markDirty(j)
+	s.dropRecordedEnds()
+	is.Equal(len(s.dirty), 0)
+
+	j.progress.Outcome = crankjobs.OutcomeCancelled // a cancellation before the end was read late
+	s.markDirty(j)
+	s.dropRecordedEnds()
+	is.Equal(len(s.dirty), 1)
+}
