--- /dev/null
+++ b/proofs/crankentryproof/late_drain_test.go
@@ -0,0 +1,38 @@
+package crankentryproof
+
+import (
+	"testing"
+	"time"
+
+	crank "cranberrycrank"
+
+	"github.com/matryer/is"
+)
+
+// A worker that began to drain just before the loss of the leader was watched by nobody, and
+// a run that ended there before the next term was done again.
+func TestEndAtAWorkerThatDrainsAsTheLeaderIsLostCounts(t *testing.T) {
+	const runTime, drains, ends, leaves = 10 * time.Second, 10 * time.Millisecond, 100 * time.Millisecond, 1200 * time.Millisecond
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(8)
+		time.Sleep(settled)
+		log := c.recordStarts()
+		is.NoErr(c.submit("a", "patient", "job1", independentTasks(1, runTime)))
+		time.Sleep(500 * time.Millisecond)
+		first := crank.TaskID{Job: "job1"}
+		worker := log.workerOf(first)
+		lost := log.started("job1")[first].Add(runTime - ends)
+		time.AfterFunc(time.Until(lost.Add(-drains)), func() { c.drain(worker) })
+		time.AfterFunc(time.Until(lost.Add(leaves)), func() {
+			c.losePower(worker)
+			c.removeEntry(worker)
+		})
+		time.Sleep(time.Until(lost))
+		term := c.termNumber()
+		c.kill(c.leader())
+		c.awaitTermAfter(term)
+		time.Sleep(12 * time.Second)
+		is.Equal(c.fleet.Runs(), 1) // it was not done again
+	})
+}
