--- a/standin/crankfakenet/listener.go
+++ b/standin/crankfakenet/listener.go
@@ -10,28 +10,22 @@
 	crank "cranberrycrank"
 )
 
-// Mode is what a Listener does with connections.
-type Mode string
-
-// Modes.
-const (
-	ModePass   Mode = ""
-	ModeSilent Mode = "silent"  // bytes are dropped in both directions
-	ModeOneWay Mode = "one-way" // requests arrive, responses are dropped
-	ModeReset  Mode = "reset"   // open and new connections are reset
-	ModeRefuse Mode = "refuse"  // nothing listens
-)
-
 // Listener serves HTTP at an address that it keeps. Its handler and its mode can be
 // replaced.
 type Listener struct {
 	addr    string
 	handler atomic.Pointer[http.Handler]
+
+	switching sync.Mutex // held while the mode is replaced
+	in        net.Listener
+	server    *http.Server
+	filling   []net.Conn // of a full queue
+	closed    bool
+
 	mu      sync.Mutex
 	mode    Mode
 	delay   time.Duration
 	changed chan struct{} // closed and replaced on each change of the mode
-	server  *http.Server
 	conns   map[*conn]bool
 }
 
@@ -65,34 +59,69 @@
 }
 
 func (l *Listener) serve(in net.Listener) {
-	l.server = &http.Server{Handler: l}
+	l.in, l.server = in, &http.Server{Handler: l}
 	go l.server.Serve(acceptor{in, l})
 }
 
 // SetMode replaces the mode. Connections that lost bytes are closed on the way back.
 func (l *Listener) SetMode(m Mode) error {
-	l.mu.Lock()
-	old := l.mode
+	l.switching.Lock()
+	defer l.switching.Unlock()
+	if l.closed {
+		return nil
+	}
+	return l.switchMode(m)
+}
+
+// switchMode replaces the mode under the lock.
+func (l *Listener) switchMode(m Mode) error {
+	old := l.replaceMode(m)
 	if m == old {
-		l.mu.Unlock()
 		return nil
 	}
+	if old == ModeRefuse {
+		if err := l.open(); err != nil {
+			return err
+		}
+	}
+	if old == ModeFullQueue {
+		for _, c := range l.filling {
+			c.Close()
+		}
+		l.filling = nil
+		if err := limitQueue(l.in, queueLength); err != nil {
+			return crank.Wrap("listen", crank.KindUnavailable, err)
+		}
+	}
+	switch m {
+	case ModeRefuse:
+		return l.server.Close()
+	case ModeFullQueue:
+		if err := limitQueue(l.in, 0); err != nil {
+			return crank.Wrap("listen", crank.KindUnavailable, err)
+		}
+		l.filling = fill(l.addr)
+	}
+	return nil
+}
+
+// replaceMode returns the mode of before. It closes the connections that can't go on.
+func (l *Listener) replaceMode(m Mode) (old Mode) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old = l.mode
+	if m == old {
+		return old
+	}
 	l.mode = m
 	close(l.changed)
 	l.changed = make(chan struct{})
-	if m == ModeReset || old == ModeSilent || old == ModeOneWay {
+	if m == ModeReset || old.dropsBytes() {
 		for c := range l.conns {
 			reset(c.Conn)
 		}
 	}
-	l.mu.Unlock()
-	if m == ModeRefuse {
-		return l.server.Close()
-	}
-	if old == ModeRefuse {
-		return l.open()
-	}
-	return nil
+	return old
 }
 
 // SetDelay delays the effect of each request.
@@ -102,9 +131,12 @@
 	l.delay = d
 }
 
-// Close ends the listener.
+// Close ends the listener for good.
 func (l *Listener) Close() error {
-	return l.server.Close()
+	l.switching.Lock()
+	defer l.switching.Unlock()
+	l.closed = true
+	return l.switchMode(ModeRefuse)
 }
 
 func (l *Listener) state() (Mode, time.Duration, <-chan struct{}) {
@@ -112,71 +144,3 @@
 	defer l.mu.Unlock()
 	return l.mode, l.delay, l.changed
 }
-
-func reset(c net.Conn) {
-	if t, ok := c.(*net.TCPConn); ok {
-		_ = t.SetLinger(0) // without it the close is an ordinary one
-	}
-	c.Close()
-}
-
-type acceptor struct {
-	net.Listener
-	l *Listener
-}
-
-// Accept implements net.Listener.
-func (a acceptor) Accept() (net.Conn, error) {
-	for {
-		in, err := a.Listener.Accept()
-		if err != nil {
-			return nil, err
-		}
-		a.l.mu.Lock()
-		m := a.l.mode
-		c := &conn{in, a.l}
-		if m != ModeReset {
-			a.l.conns[c] = true
-		}
-		a.l.mu.Unlock()
-		if m != ModeReset {
-			return c, nil
-		}
-		reset(in)
-	}
-}
-
-// conn is an accepted connection.
-type conn struct {
-	net.Conn
-	l *Listener
-}
-
-// Read implements net.Conn.
-func (c *conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if err != nil {
-		return n, err
-	}
-	if m, _, changed := c.l.state(); m == ModeSilent {
-		<-changed // which resets the connection
-		return 0, net.ErrClosed
-	}
-	return n, nil
-}
-
-// Write implements net.Conn.
-func (c *conn) Write(b []byte) (int, error) {
-	if m, _, _ := c.l.state(); m == ModeSilent || m == ModeOneWay {
-		return len(b), nil
-	}
-	return c.Conn.Write(b)
-}
-
-// Close implements net.Conn.
-func (c *conn) Close() error {
-	c.l.mu.Lock()
-	delete(c.l.conns, c)
-	c.l.mu.Unlock()
-	return c.Conn.Close()
-}
