Emulator: ways in which a living worker is out of reach

Cause: a worker that was cut off and worked on was always silent, so that plays never showed a living worker whose address refuses connections. Change: cut-off has a way (silent, one-way, reset, refuse, late-answers, no-accept, full-queue, moved, taken, moved-taken), store=kept|cut for its entry, and from= for instances that don't reach it; each instance knows workers by one of four loopback hosts. Plans draw them alone, in a series, in gaps shorter than heartbeats, and with a loss or a pause of the leader, an outage of the store and a drain. Connections to the store can be refused, those of callers cut (cut-callers). A value that a kind doesn't have is an error. A draining worker that is out of reach leaves in its time, and a lost one is no longer back alive at the end of a cut-off.

--- a/standin/crankfakeinstance/instance.go
+++ b/standin/crankfakeinstance/instance.go
@@ -28,6 +28,7 @@
 	Directory  string // for its settings and its log
 	Ports      *crankfakenet.Ports
 	Store      http.Handler
+	Host       int                      // at which it calls workers
 	Ended      func(name string, e End) // called for an end that is no disturbance's
 }
 
@@ -44,7 +45,7 @@
 // Instance is an entry instance, whose process may be replaced.
 type Instance struct {
 	Config
-	addr    string
+	callers *crankfakenet.Listener
 	ready   string
 	logPath string
 	logFile *os.File
@@ -79,6 +80,10 @@
 		return nil, err
 	}
 	store.SetDelay(StoreDelay)
+	callers, err := c.Ports.Listen(crankfakenet.NewProxy(addrs[0]))
+	if err != nil {
+		return nil, err
+	}
 	_, metrics, _ := net.SplitHostPort(addrs[3])
 	b := c.Bounds
 	text := fmt.Sprintf(`[instance]
@@ -101,7 +106,7 @@
 [running]
 drain-timeout = %s
 `, c.Name, c.Zone, addrs[0], addrs[1], addrs[2], metrics, c.Size.Share, c.Size.MemoryMiB, store.Addr(), b.ConfigTime, b.LongestLease, b.StopTime, b.GangTimeout, b.Heartbeat, b.GraceTime)
-	i := &Instance{Config: c, addr: addrs[0], ready: addrs[1], store: store, logPath: filepath.Join(c.Directory, c.Name+".log")}
+	i := &Instance{Config: c, callers: callers, ready: addrs[1], store: store, logPath: filepath.Join(c.Directory, c.Name+".log")}
 	if err := os.WriteFile(i.settingsPath(), []byte(text), 0o600); err != nil {
 		return nil, crank.Wrap(op, crank.KindUnavailable, err)
 	}
@@ -112,7 +117,7 @@
 }
 
 // Addr returns the address for callers.
-func (i *Instance) Addr() string { return i.addr }
+func (i *Instance) Addr() string { return i.callers.Addr() }
 
 // Store returns the listener of the store that the instance uses.
 func (i *Instance) Store() *crankfakenet.Listener { return i.store }
@@ -126,6 +131,7 @@
 	i.mu.Unlock()
 	i.end()
 	i.store.Close()
+	i.callers.Close()
 	i.logFile.Close()
 }
 
@@ -289,7 +295,7 @@
 // down already.
 func (i *Instance) Disturb(d crankfakeplan.Disturbance) (func() error, error) {
 	switch d.Kind {
-	case crankfakeplan.HangUp, crankfakeplan.CutStore, crankfakeplan.Pause:
+	case crankfakeplan.HangUp, crankfakeplan.CutStore, crankfakeplan.CutCallers, crankfakeplan.Pause:
 		if i.IsDown() {
 			return nil, nil
 		}
@@ -325,6 +331,8 @@
 		return func() error { return nil }, nil
 	case crankfakeplan.CutStore:
 		return i.Reconnect, i.store.SetMode(crankfakenet.Mode(d.How))
+	case crankfakeplan.CutCallers:
+		return func() error { return i.callers.SetMode(crankfakenet.ModePass) }, i.callers.SetMode(crankfakenet.Mode(d.How))
 	}
 	return nil, crank.Fail("instance disturbance", crank.KindInvalid, "%q is no disturbance of an instance", d.Kind)
 }
--- a/standin/crankfakemachine/machine.go
+++ b/standin/crankfakemachine/machine.go
@@ -11,7 +11,6 @@
 	crank "cranberrycrank"
 	"cranberrycrank/standin/crankfakefleet"
 	"cranberrycrank/standin/crankfakenet"
-	"cranberrycrank/standin/crankfakeplan"
 	"cranberrycrank/standin/crankfakeplatform"
 	"cranberrycrank/standin/crankfakestore"
 )
@@ -33,15 +32,20 @@
 // Machine is an address at which one worker after the other may run.
 type Machine struct {
 	Config
-	listener *crankfakenet.Listener
 
 	mu       sync.Mutex
+	listener *crankfakenet.Group
+	former   []*crankfakenet.Group // addresses that the worker moved from
+	guests   []*guest              // other workers at an address of this one
 	entry    crank.WorkerEntry
 	workers  int  // so far
+	up       bool // the worker lives
 	reaches  bool // the store
+	away     bool // out of reach while it runs on
 	serves   bool // takes tasks
 	gone     bool // for good
 	lives    int  // disturbances of an earlier life have no effect
+	cuts     int  // the end of an earlier cut-off has no effect
 	lastBeat time.Time
 	listed   bool
 }
@@ -53,7 +57,7 @@
 func Start(c Config) (*Machine, error) {
 	m := &Machine{Config: c, entry: c.Entry}
 	var err error
-	if m.listener, err = c.Ports.Listen(http.NotFoundHandler()); err != nil {
+	if m.listener, err = c.Ports.ListenAtAllHosts(http.NotFoundHandler()); err != nil {
 		return nil, err
 	}
 	m.entry.Addr = m.listener.Addr()
@@ -63,8 +67,14 @@
 	return m, nil
 }
 
-// Close ends the listener.
-func (m *Machine) Close() { m.listener.Close() }
+// Close ends the listeners.
+func (m *Machine) Close() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, l := range append(m.former, m.listener) {
+		l.Close()
+	}
+}
 
 // Current returns the entry of the newest worker, and whether it takes tasks.
 func (m *Machine) Current() (e crank.WorkerEntry, serves bool) {
@@ -84,11 +94,15 @@
 	}
 	m.entry.Draining = false
 	m.entry = m.Fleet.Add(m.entry)
-	m.listener.SetHandler(crankfakeplatform.WorkerHandler{Entry: m.entry, Dial: m.Dialer})
-	m.reaches, m.serves = true, true
+	m.listener.SetHandler(m.handler(m.entry))
+	m.up, m.reaches, m.away, m.serves = true, true, false, true
 	m.put()
 }
 
+func (m *Machine) handler(e crank.WorkerEntry) http.Handler {
+	return crankfakeplatform.WorkerHandler{Entry: e, Dial: m.Dialer}
+}
+
 func (m *Machine) put() {
 	m.Store.Put(crank.WorkerTopic, m.entry.ID, crankfakeplatform.EncodeEntry(m.entry))
 	m.lastBeat, m.listed = time.Now(), true
@@ -104,6 +118,11 @@
 func (m *Machine) Beat() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	for _, g := range m.guests {
+		if time.Since(g.lastBeat) >= m.Heartbeat {
+			m.putGuest(g)
+		}
+	}
 	switch silent := time.Since(m.lastBeat); {
 	case m.reaches && silent >= m.Heartbeat:
 		m.put()
@@ -111,117 +130,3 @@
 		m.unlist()
 	}
 }
-
-// Disturb applies a disturbance and returns what ends it, or nil.
-func (m *Machine) Disturb(d crankfakeplan.Disturbance) (end func() error, err error) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.gone {
-		return nil, nil
-	}
-	switch d.Kind {
-	case crankfakeplan.Drain, crankfakeplan.Take:
-		if m.entry.Draining || !m.reaches {
-			return nil, nil
-		}
-		m.entry.Draining = true
-		m.put()
-		m.lives++
-		return m.sameLife(func() error {
-			if d.Kind == crankfakeplan.Drain {
-				return m.leave()
-			}
-			return m.vanish(d.How)
-		}), nil
-	case crankfakeplan.Remove:
-		m.lives++
-		return nil, m.vanish(d.How)
-	case crankfakeplan.Silence, crankfakeplan.CutOff:
-		m.lives++
-		m.reaches, m.serves = false, false
-		if d.Kind == crankfakeplan.Silence {
-			m.Fleet.Crash(m.entry.ID)
-		}
-		return m.sameLife(func() error { return m.back(d) }), m.listener.SetMode(crankfakenet.ModeSilent)
-	case crankfakeplan.LateCall:
-		return m.inject(crankfakefleet.Fault{EffectDelay: 3 * time.Second}), nil
-	case crankfakeplan.LoseCall:
-		return m.inject(crankfakefleet.Fault{DropResponse: true}), nil
-	case crankfakeplan.Unwell:
-		return m.injectUnfit(crankfakefleet.Fault{Refuse: true}), nil
-	case crankfakeplan.Pretend:
-		return m.injectUnfit(crankfakefleet.Fault{RefuseStart: true}), nil
-	case crankfakeplan.Slow:
-		return m.inject(crankfakefleet.Fault{TransitTime: slowTransit}), nil
-	case crankfakeplan.Fail:
-		id := m.entry.ID
-		m.SetFailing(id, failingShares[d.How])
-		return func() error {
-			m.SetFailing(id, 0)
-			return nil
-		}, nil
-	case crankfakeplan.Flap:
-		return m.flap(), nil
-	}
-	return nil, crank.Fail("worker disturbance", crank.KindInvalid, "%q is no disturbance of a worker", d.Kind)
-}
-
-// sameLife returns f under the lock, without effect after a later disturbance.
-func (m *Machine) sameLife(f func() error) func() error {
-	life := m.lives
-	return func() error {
-		m.mu.Lock()
-		defer m.mu.Unlock()
-		if m.lives != life {
-			return nil
-		}
-		return f()
-	}
-}
-
-// leave ends a worker in order.
-func (m *Machine) leave() error {
-	if m.Ghosts {
-		m.Fleet.Leave(m.entry.ID)
-		return nil
-	}
-	m.gone, m.reaches, m.serves = true, false, false
-	m.Fleet.Leave(m.entry.ID)
-	m.unlist()
-	return m.listener.SetMode(crankfakenet.ModeRefuse)
-}
-
-// vanish ends a worker whose entry stays until it has been silent for a while.
-func (m *Machine) vanish(how string) error {
-	m.gone, m.reaches, m.serves = true, false, false
-	m.Fleet.Crash(m.entry.ID)
-	return m.listener.SetMode(crankfakenet.Mode(how))
-}
-
-func (m *Machine) back(d crankfakeplan.Disturbance) error {
-	if d.How == crankfakeplan.BackAlive {
-		m.reaches, m.serves = true, true
-		m.put()
-	} else {
-		if d.How == crankfakeplan.BackNewID && m.listed {
-			m.expire(m.entry.ID)
-		}
-		m.begin(d.How == crankfakeplan.BackNewID)
-	}
-	return m.listener.SetMode(crankfakenet.ModePass)
-}
-
-// expire removes the entry of a former worker once it has been silent long enough.
-func (m *Machine) expire(id string) {
-	left := silentBeats*m.Heartbeat - time.Since(m.lastBeat)
-	time.AfterFunc(max(0, left), func() { m.Store.Put(crank.WorkerTopic, id, nil) })
-}
-
-func (m *Machine) inject(f crankfakefleet.Fault) func() error {
-	id := m.entry.ID
-	m.SetFault(id, f)
-	return func() error {
-		m.SetFault(id, crankfakefleet.Fault{})
-		return nil
-	}
-}
--- a/standin/crankfakemachine/unfit.go
+++ b/standin/crankfakemachine/unfit.go
@@ -20,7 +20,7 @@
 	end := m.inject(f)
 	return func() error {
 		m.mu.Lock()
-		m.serves = m.reaches
+		m.serves = m.reaches && !m.away
 		m.mu.Unlock()
 		return end()
 	}
--- a/standin/crankfakeplan/draw.go
+++ b/standin/crankfakeplan/draw.go
@@ -68,7 +68,7 @@
 
 // common draws one of the disturbances that may come at any time.
 func (d *drawer) common(at time.Duration) {
-	switch d.rng.IntN(16) {
+	switch d.rng.IntN(17) {
 	case 0:
 		d.add(at, LosePower, d.seconds(1, 5), "", d.share(d.Instances, 0.16)...)
 	case 1:
@@ -78,11 +78,11 @@
 	case 3:
 		d.roll(at, 0.2+0.3*d.rng.Float64(), d.seconds(0.8, 1.6))
 	case 4:
-		d.add(at, CutStore, d.seconds(2, 8), d.pick("silent", "reset", "one-way"), "leader")
+		d.add(at, CutStore, d.seconds(2, 8), d.pick(addressWays...), "leader")
 	case 5:
-		d.add(at, CutStore, d.seconds(3, 9), d.pick("silent", "reset", "one-way"), d.share(d.Instances, 0.35)...)
+		d.add(at, CutStore, d.seconds(3, 9), d.pick(addressWays...), d.share(d.Instances, 0.35)...)
 	case 6:
-		d.add(at, DownStore, d.seconds(1, 5), d.pick("silent", "reset"))
+		d.add(at, DownStore, d.seconds(1, 5), d.pick(addressWays...))
 	case 7:
 		d.add(at, SlowStore, d.seconds(2, 5), "")
 	case 8:
@@ -100,6 +100,8 @@
 		d.add(at+d.seconds(0.2, 1.5), HangUp, 0, "", d.share(d.Instances, 0.2)...)
 	case 15:
 		d.add(at, Withdraw, 0, "")
+	case 16:
+		d.add(at, CutCallers, d.seconds(1, 5), d.pick(callWays...), d.share(d.Instances, 0.2)...)
 	}
 }
 
@@ -114,7 +116,7 @@
 // workers draws a disturbance of a share of the workers.
 func (d *drawer) workers(at time.Duration, share float64) {
 	picked := d.share(d.Workers, share)
-	switch d.rng.IntN(7) {
+	switch d.rng.IntN(11) {
 	case 0:
 		d.add(at, Drain, 0, "", picked...)
 	case 1:
@@ -128,10 +130,10 @@
 		}
 	case 4:
 		d.add(at, Silence, d.seconds(15, 40), BackNewID, picked...)
-	case 5:
-		d.add(at, CutOff, d.seconds(2, 9), BackAlive, picked...)
-	case 6:
-		d.add(at, CutOff, d.seconds(2, 14), d.pick(BackSameID, BackNewID), picked...)
+	case 5, 6:
+		d.cut(at, d.seconds(2, 14), d.pick(BackSameID, BackNewID), d.pick(callWays...), picked)
+	default:
+		d.outOfReach(at, picked)
 	}
 }
 
@@ -171,7 +173,7 @@
 		d.add(at+d.seconds(1, 5), d.kindOfLoss(), d.seconds(1, 3), "", "leader")
 	}
 	if d.rng.IntN(3) == 0 {
-		d.add(at+d.seconds(-1, 2), DownStore, d.seconds(1, 4.5), d.pick("silent", "reset"))
+		d.add(at+d.seconds(-1, 2), DownStore, d.seconds(1, 4.5), d.pick(addressWays...))
 	}
 	if d.rng.IntN(3) == 0 {
 		d.workers(at+d.seconds(0.5, 5), 0.1)
--- a/standin/crankfakeplan/plan.go
+++ b/standin/crankfakeplan/plan.go
@@ -25,6 +25,8 @@
 	LosePower Kind = "lose-power" // silent at once, a start at the end
 	HangUp    Kind = "hang-up"    // SIGHUP
 	CutStore  Kind = "cut-store"  // the instance's connections to the store
+	// CutCallers cuts the connections of callers to an instance.
+	CutCallers Kind = "cut-callers"
 	// Of workers.
 	Drain    Kind = "drain"    // leaves in order after the drain time
 	Take     Kind = "take"     // draining, gone at the end
@@ -48,7 +50,7 @@
 )
 
 var kinds = []Kind{
-	Terminate, Kill, Pause, LosePower, HangUp, CutStore, Drain, Take, Remove, Silence, CutOff, LateCall, LoseCall,
+	Terminate, Kill, Pause, LosePower, HangUp, CutStore, CutCallers, Drain, Take, Remove, Silence, CutOff, LateCall, LoseCall,
 	Unwell, Fail, Slow, Pretend, Flap, Evacuate, SlowStore, DownStore, Compact, Configure, Withdraw,
 }
 
@@ -71,7 +73,11 @@
 	Kind    Kind
 	Targets []string      // instances, workers, "leader", "all" or "zone:NAME"
 	For     time.Duration // 0 where nothing ends
-	How     string        // the mode of the address meanwhile or from then on, or how a worker is back
+	How     string        // the way in which the address is out of reach, or how a worker is back
+	// Of CutOff.
+	Way   string   // in which the worker is out of reach, silent if empty
+	Store string   // whether it reaches the store meanwhile
+	From  []string // instances that don't reach it, "leader" or "zone:NAME"; all if empty
 }
 
 // String returns the line of the disturbance in a plan.
@@ -83,8 +89,10 @@
 	if d.For > 0 {
 		s += " for=" + d.For.String()
 	}
-	if d.How != "" {
-		s += " how=" + d.How
+	for _, p := range append([][2]string{{"how", d.How}}, d.cutOffValues()...) {
+		if p[1] != "" {
+			s += " " + p[0] + "=" + p[1]
+		}
 	}
 	return s
 }
@@ -144,11 +152,17 @@
 			}
 		case "how":
 			d.How = value
+		case "way":
+			d.Way = value
+		case "store":
+			d.Store = value
+		case "from":
+			d.From = strings.Split(value, ",")
 		default:
 			return d, fmt.Errorf("unknown key %q", key)
 		}
 	}
-	return d, nil
+	return d, d.check()
 }
 
 func (p Plan) sort() {
--- a/standin/crankfakerig/play.go
+++ b/standin/crankfakerig/play.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"slices"
 	"time"
 
 	crank "cranberrycrank"
@@ -34,7 +36,7 @@
 }
 
 func (r *Rig) logPlay(d crankfakeplan.Disturbance, what string, names []string) {
-	fmt.Fprintf(r.playFile, "%s +%s %s %s for=%s how=%s targets=%v\n", time.Now().UTC().Format("15:04:05.000"), r.age(), what, d.Kind, d.For, d.How, names)
+	fmt.Fprintf(r.playFile, "%s +%s %s %s for=%s how=%s way=%s store=%s from=%v targets=%v\n", time.Now().UTC().Format("15:04:05.000"), r.age(), what, d.Kind, d.For, d.How, d.Way, d.Store, d.From, names)
 }
 
 func (r *Rig) disturb(ctx context.Context, d crankfakeplan.Disturbance) error {
@@ -55,14 +57,14 @@
 			all = append(all, m.Name)
 		}
 		names = r.resolve(ctx, d.Targets, all, func(n string) string { return byName[n].Entry.Zone })
-		for _, n := range names {
-			end, err := byName[n].Disturb(d)
-			if err != nil {
-				return err
-			}
-			if end != nil {
-				ends = append(ends, end)
-			}
+		hosts, reached := r.hostsOf(ctx, d.From)
+		if !reached {
+			r.logPlay(d, "skip", names)
+			return nil
+		}
+		ends, err := disturbAll(names, func(n string) (func() error, error) { return byName[n].Disturb(d, hosts...) })
+		if err != nil {
+			return err
 		}
 		return r.awaitEnd(ctx, d, length, names, ends)
 	case crankfakeplan.Evacuate:
@@ -96,6 +98,49 @@
 	return r.awaitEnd(ctx, d, d.For, names, ends)
 }
 
+// hostsOf returns the hosts of instances, none for all. It returns false if nobody is meant.
+func (r *Rig) hostsOf(ctx context.Context, instances []string) (hosts []int, ok bool) {
+	if len(instances) == 0 {
+		return nil, true
+	}
+	for _, name := range r.resolveInstances(ctx, instances) {
+		hosts = append(hosts, r.instance(name).Host)
+	}
+	slices.Sort(hosts)
+	return slices.Compact(hosts), len(hosts) > 0
+}
+
+func (r *Rig) resolveInstances(ctx context.Context, targets []string) []string {
+	var all []string
+	for _, i := range r.instances {
+		all = append(all, i.Name)
+	}
+	return r.resolve(ctx, targets, all, func(n string) string { return r.instance(n).Zone })
+}
+
+// disturbAll disturbs all targets at once and returns what ends it.
+func disturbAll(names []string, disturb func(name string) (end func() error, err error)) (ends []func() error, err error) {
+	type result struct {
+		end func() error
+		err error
+	}
+	results := make(chan result, len(names))
+	for _, n := range names {
+		go func() {
+			end, err := disturb(n)
+			results <- result{end, err}
+		}()
+	}
+	for range names {
+		r := <-results
+		if r.end != nil {
+			ends = append(ends, r.end)
+		}
+		err = errors.Join(err, r.err)
+	}
+	return ends, err
+}
+
 // awaitEnd ends a disturbance in its time.
 func (r *Rig) awaitEnd(ctx context.Context, d crankfakeplan.Disturbance, length time.Duration, names []string, ends []func() error) error {
 	r.logPlay(d, "begin", names)
@@ -130,11 +175,7 @@
 }
 
 func (r *Rig) disturbInstances(ctx context.Context, d crankfakeplan.Disturbance) error {
-	var all []string
-	for _, i := range r.instances {
-		all = append(all, i.Name)
-	}
-	names := r.resolve(ctx, d.Targets, all, func(n string) string { return r.instance(n).Zone })
+	names := r.resolveInstances(ctx, d.Targets)
 	var hit []string
 	var ends []func() error
 	for _, n := range names {
--- a/standin/crankfakerig/site.go
+++ b/standin/crankfakerig/site.go
@@ -12,15 +12,18 @@
 	"cranberrycrank/standin/crankfakefleet"
 	"cranberrycrank/standin/crankfakeinstance"
 	"cranberrycrank/standin/crankfakemachine"
+	"cranberrycrank/standin/crankfakenet"
 	"cranberrycrank/standin/crankfakeplatform"
 	"cranberrycrank/standin/crankfakereport"
 	"cranberrycrank/standin/crankfakesite"
 )
 
 func (r *Rig) addInstance(z crankfakesite.Zone, n int, size string) error {
+	host := len(r.instances) % crankfakenet.Hosts
+	known := func(addr string) string { return crankfakenet.AtHost(addr, host) }
 	i, err := crankfakeinstance.Start(crankfakeinstance.Config{
 		Name: instanceName(z, n), Zone: z.Name, Size: r.Site.Sizes[size], Bounds: r.Site.Bounds, Binary: r.Binary,
-		Directory: r.Directory, Ports: r.ports, Store: crankfakeplatform.StoreHandler(r.store), Ended: r.ended,
+		Directory: r.Directory, Ports: r.ports, Store: crankfakeplatform.StoreHandlerWithAddresses(r.store, known), Host: host, Ended: r.ended,
 	})
 	if i != nil {
 		r.instances = append(r.instances, i)
