Emulator: a worker counts as fit through a gap shorter than a heartbeat

Cause: a moment without a listener took the worker out of the room that a job may have, which could excuse a job that stood. Change: only cut-offs of a heartbeat or longer do. Measured: go test ./standin/crankfakemachine passes.

--- a/standin/crankfakemachine/reach.go
+++ b/standin/crankfakemachine/reach.go
@@ -27,7 +27,9 @@
 	if !isAlive {
 		m.lives++
 	}
-	m.away, m.serves, m.reaches = true, false, m.reaches && d.Store == crankfakeplan.StoreKept
+	m.away = d.For >= m.Heartbeat // a shorter gap is no excuse
+	m.serves = m.serves && !m.away
+	m.reaches = m.reaches && d.Store == crankfakeplan.StoreKept
 	if err := m.leaveReach(crankfakenet.ModePass); err != nil {
 		return nil, err
 	}
--- a/standin/crankfakemachine/reach_test.go
+++ b/standin/crankfakemachine/reach_test.go
@@ -128,7 +128,7 @@
 				is := is.New(t)
 				s := newStage(t)
 				is.Equal(s.see(), seenAnswer)
-				d := crankfakeplan.Disturbance{Kind: crankfakeplan.CutOff, How: crankfakeplan.BackAlive, Way: way, Store: store}
+				d := crankfakeplan.Disturbance{Kind: crankfakeplan.CutOff, For: time.Second, How: crankfakeplan.BackAlive, Way: way, Store: store}
 				end, err := s.Disturb(d)
 				is.NoErr(err)
 				is.Equal(s.see(), want)
@@ -158,7 +158,7 @@
 func TestWorkerIsReachedBySomeHosts(t *testing.T) {
 	is := is.New(t)
 	s := newStage(t)
-	end, err := s.Disturb(crankfakeplan.Disturbance{Kind: crankfakeplan.CutOff, How: crankfakeplan.BackAlive, Way: crankfakeplan.WayRefuse}, 1, 2)
+	end, err := s.Disturb(crankfakeplan.Disturbance{Kind: crankfakeplan.CutOff, For: time.Second, How: crankfakeplan.BackAlive, Way: crankfakeplan.WayRefuse}, 1, 2)
 	is.NoErr(err)
 	for n, want := range []string{seenAnswer, seenRefused, seenRefused, seenAnswer} {
 		is.Equal(see(crankfakenet.AtHost(s.addr, n), s.id), want)
@@ -178,7 +178,7 @@
 				t.Parallel()
 				is := is.New(t)
 				s := newStage(t)
-				d := crankfakeplan.Disturbance{Kind: crankfakeplan.CutOff, How: crankfakeplan.BackAlive, Way: first}
+				d := crankfakeplan.Disturbance{Kind: crankfakeplan.CutOff, For: time.Second, How: crankfakeplan.BackAlive, Way: first}
 				endFirst, err := s.Disturb(d)
 				is.NoErr(err)
 				d.Way = second
@@ -202,7 +202,7 @@
 	s := newStage(t)
 	leave, err := s.Disturb(crankfakeplan.Disturbance{Kind: crankfakeplan.Drain})
 	is.NoErr(err)
-	back, err := s.Disturb(crankfakeplan.Disturbance{Kind: crankfakeplan.CutOff, How: crankfakeplan.BackAlive, Way: crankfakeplan.WayReset})
+	back, err := s.Disturb(crankfakeplan.Disturbance{Kind: crankfakeplan.CutOff, For: time.Second, How: crankfakeplan.BackAlive, Way: crankfakeplan.WayReset})
 	is.NoErr(err)
 	is.NoErr(leave())
 	is.Equal(s.runs(), 0)
@@ -213,6 +213,20 @@
 	is.True(!s.listed())
 }
 
+func TestWorkerServesThroughAGap(t *testing.T) {
+	is := is.New(t)
+	s := newStage(t)
+	end, err := s.Disturb(crankfakeplan.Disturbance{
+		Kind: crankfakeplan.CutOff, For: testHeartbeat / 2, How: crankfakeplan.BackAlive, Way: crankfakeplan.WayRefuse, Store: crankfakeplan.StoreKept,
+	})
+	is.NoErr(err)
+	is.Equal(s.see(), seenRefused)
+	_, serves := s.Current()
+	is.True(serves)
+	is.NoErr(end())
+	is.Equal(s.see(), seenAnswer)
+}
+
 func TestLostWorkerIsNotBackAlive(t *testing.T) {
 	is := is.New(t)
 	s := newStage(t)
