Planted faults of workers that are out of reach

Cause: no planted fault concerned a living worker whose address doesn't answer for it. Change: an address that answers as a later incarnation, a move under a later start time, and starts without an answer that are not shown.

--- a/standin/crankfakemachine/machine.go
+++ b/standin/crankfakemachine/machine.go
@@ -26,7 +26,16 @@
 	Store      *crankfakestore.Store
 	SetFault   func(worker string, f crankfakefleet.Fault) // of later calls, the zero value for none
 	SetFailing func(worker string, share float64)          // of the runs that end from now on
-	Ghosts     bool                                        // a test's: workers that left stay listed and answer
+	Plants
+}
+
+// Plants are faults that a test plants.
+type Plants struct {
+	Ghosts bool // workers that left stay listed and answer
+	// Impostor, if not nil, answers at the address of a worker that is cut off.
+	Impostor func(e crank.WorkerEntry) http.Handler
+	// Alter, if not nil, changes the entries of workers that have moved.
+	Alter func(e crank.WorkerEntry) crank.WorkerEntry
 }
 
 // Machine is an address at which one worker after the other may run.
@@ -104,7 +113,11 @@
 }
 
 func (m *Machine) put() {
-	m.Store.Put(crank.WorkerTopic, m.entry.ID, crankfakeplatform.EncodeEntry(m.entry))
+	e := m.entry
+	if m.Alter != nil && len(m.former) > 0 {
+		e = m.Alter(e)
+	}
+	m.Store.Put(crank.WorkerTopic, e.ID, crankfakeplatform.EncodeEntry(e))
 	m.lastBeat, m.listed = time.Now(), true
 }
 
--- a/standin/crankfakemachine/reach.go
+++ b/standin/crankfakemachine/reach.go
@@ -59,6 +59,9 @@
 
 // cut applies the way of a cut-off.
 func (m *Machine) cut(d crankfakeplan.Disturbance, hosts []int) error {
+	if m.Impostor != nil {
+		return replace(m.listener, m.Impostor(m.entry))
+	}
 	switch d.Way {
 	case crankfakeplan.WayMoved:
 		return m.move(crankfakenet.ModeRefuse)
@@ -89,6 +92,11 @@
 		}
 	}
 	m.guests = staying
+	if m.Impostor != nil {
+		if err := replace(m.listener, m.handler(m.entry)); err != nil {
+			return err
+		}
+	}
 	return m.listener.SetMode(mode)
 }
 
--- a/standin/crankfakerig/planted_test.go
+++ b/standin/crankfakerig/planted_test.go
@@ -134,6 +134,7 @@
 	isLost    func(r *Rig, s crankfakewatch.Still) bool // where there is none
 	change    func(s *crankfakesite.Site)               // may be nil
 	site      string                                    // small-hall if empty
+	way       string                                    // of all cut-offs of living workers, which alone are played; all of the plan if empty
 }
 
 func plants() map[string]plant {
@@ -146,7 +147,7 @@
 		"departure not seen": {run: 6 * time.Second, isLost: hasGhostRun(left), apply: func(r *Rig) {
 			known.Clear()
 			left.Clear()
-			r.ghosts = true
+			r.plants.Ghosts = true
 			r.dialer = planted{r.fleet, func(w crank.LeasedWorker, e crank.WorkerEntry) crank.LeasedWorker { return ghost{w, e.ID, known, left} }}
 		}},
 		"order sent twice": {violation: "has two active runs", apply: func(r *Rig) {
@@ -191,7 +192,11 @@
 	if p.change != nil {
 		p.change(&site)
 	}
-	rig, err := New(Config{Binary: binary, Site: site, Seed: seed, Directory: t.TempDir(), Logger: slog.New(slog.DiscardHandler)})
+	c := Config{Binary: binary, Site: site, Seed: seed, Directory: t.TempDir(), Logger: slog.New(slog.DiscardHandler)}
+	if p.way != "" {
+		c.Plan = cutOffs(site, seed, p.way)
+	}
+	rig, err := New(c)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -226,6 +231,7 @@
 	}
 	all := plants()
 	maps.Copy(all, mixedPlants())
+	maps.Copy(all, reachPlants())
 	for name, p := range all {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -45,7 +45,7 @@
 	store     *crankfakestore.Store
 	fleet     *crankfakefleet.Fleet
 	dialer    crank.LeaseDialer            // of the fleet, unless a test plants a fault
-	ghosts    bool                         // a test's: workers that left stay listed and answer
+	plants    crankfakemachine.Plants      // of a test
 	encode    func(j crank.StepJob) []byte // of submissions, unless a test plants a fault
 	watch     *crankfakewatch.Watch
 	ports     *crankfakenet.Ports
--- a/standin/crankfakerig/site.go
+++ b/standin/crankfakerig/site.go
@@ -45,7 +45,7 @@
 	entry.Pool = pool
 	m, err := crankfakemachine.Start(crankfakemachine.Config{
 		Name: machineName(z, n), Heartbeat: r.Site.Bounds.Heartbeat, Fleet: r.fleet, Dialer: r.dialer, Store: r.store,
-		Entry: entry, Ports: r.ports, SetFault: r.setFault, SetFailing: r.setFailing, Ghosts: r.ghosts,
+		Entry: entry, Ports: r.ports, SetFault: r.setFault, SetFailing: r.setFailing, Plants: r.plants,
 	})
 	if err != nil {
 		return err
