Emulator: instances out of reach of callers and of each other

Cause: instances were reached by each other at the processes themselves, so that a play could not let them be refused, reset, silent or one way; a callers' proxy accepted connections while its process was down. Change: addresses in front of the processes, at which nothing listens while the process is down; cut-peers, whose plans alone have them between instances.

--- a/standin/crankfakeinstance/instance.go
+++ b/standin/crankfakeinstance/instance.go
@@ -29,6 +29,7 @@
 	Ports      *crankfakenet.Ports
 	Store      http.Handler
 	Host       int                      // at which it calls workers
+	FrontPeers bool                     // whether other instances can be cut off
 	Ended      func(name string, e End) // called for an end that is no disturbance's
 }
 
@@ -45,7 +46,9 @@
 // Instance is an entry instance, whose process may be replaced.
 type Instance struct {
 	Config
-	callers *crankfakenet.Listener
+	callers *crankfakenet.Front
+	peers   *crankfakenet.Front // nil if other instances call the process itself
+	peer    string              // the address of the process for them
 	ready   string
 	logPath string
 	logFile *os.File
@@ -80,10 +83,16 @@
 		return nil, err
 	}
 	store.SetDelay(StoreDelay)
-	callers, err := c.Ports.Listen(crankfakenet.NewProxy(addrs[0]))
+	callers, err := c.Ports.Front(addrs[0])
 	if err != nil {
 		return nil, err
 	}
+	var peers *crankfakenet.Front
+	if c.FrontPeers {
+		if peers, err = c.Ports.Front(addrs[2]); err != nil {
+			return nil, err
+		}
+	}
 	_, metrics, _ := net.SplitHostPort(addrs[3])
 	b := c.Bounds
 	text := fmt.Sprintf(`[instance]
@@ -106,7 +115,7 @@
 [running]
 drain-timeout = %s
 `, c.Name, c.Zone, addrs[0], addrs[1], addrs[2], metrics, c.Size.Share, c.Size.MemoryMiB, store.Addr(), b.ConfigTime, b.LongestLease, b.StopTime, b.GangTimeout, b.Heartbeat, b.GraceTime)
-	i := &Instance{Config: c, callers: callers, ready: addrs[1], store: store, logPath: filepath.Join(c.Directory, c.Name+".log")}
+	i := &Instance{Config: c, callers: callers, peers: peers, peer: addrs[2], ready: addrs[1], store: store, logPath: filepath.Join(c.Directory, c.Name+".log")}
 	if err := os.WriteFile(i.settingsPath(), []byte(text), 0o600); err != nil {
 		return nil, crank.Wrap(op, crank.KindUnavailable, err)
 	}
@@ -131,7 +140,9 @@
 	i.mu.Unlock()
 	i.end()
 	i.store.Close()
-	i.callers.Close()
+	for _, f := range i.fronts() {
+		f.Close()
+	}
 	i.logFile.Close()
 }
 
@@ -149,9 +160,15 @@
 	}
 	exited := make(chan struct{})
 	i.cmd, i.exited, i.down = cmd, exited, false
+	for _, f := range i.fronts() {
+		go i.noteFront(f.Begin)
+	}
 	go func() {
 		_ = cmd.Wait() // an error for a killed process
-		i.noteExit()   // before the next process starts
+		for _, f := range i.fronts() {
+			i.noteFront(f.End)
+		}
+		i.noteExit() // before the next process starts
 		close(exited)
 	}()
 	return nil
@@ -295,7 +312,7 @@
 // down already.
 func (i *Instance) Disturb(d crankfakeplan.Disturbance) (func() error, error) {
 	switch d.Kind {
-	case crankfakeplan.HangUp, crankfakeplan.CutStore, crankfakeplan.CutCallers, crankfakeplan.Pause:
+	case crankfakeplan.HangUp, crankfakeplan.CutStore, crankfakeplan.CutCallers, crankfakeplan.CutPeers, crankfakeplan.Pause:
 		if i.IsDown() {
 			return nil, nil
 		}
@@ -332,7 +349,9 @@
 	case crankfakeplan.CutStore:
 		return i.Reconnect, i.store.SetMode(crankfakenet.Mode(d.How))
 	case crankfakeplan.CutCallers:
-		return func() error { return i.callers.SetMode(crankfakenet.ModePass) }, i.callers.SetMode(crankfakenet.Mode(d.How))
+		return cut(i.callers, d)
+	case crankfakeplan.CutPeers:
+		return cut(i.peers, d)
 	}
 	return nil, crank.Fail("instance disturbance", crank.KindInvalid, "%q is no disturbance of an instance", d.Kind)
 }
--- a/standin/crankfakenet/listener_test.go
+++ b/standin/crankfakenet/listener_test.go
@@ -14,7 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer ports.Close()
+	t.Cleanup(ports.Close) // others don't get the port of a listener that refuses meanwhile
 	l, err := ports.Listen(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "here") }))
 	if err != nil {
 		t.Fatal(err)
--- a/standin/crankfakenet/mode_test.go
+++ b/standin/crankfakenet/mode_test.go
@@ -47,6 +47,7 @@
 		{ModeFullQueue, false, true, os.IsTimeout},
 	} {
 		t.Run(string(c.mode), func(t *testing.T) {
+			t.Parallel()
 			is := is.New(t)
 			l, known := listen(t)
 			is.True(answers(l, known)) // a connection is open
@@ -87,21 +88,24 @@
 }
 
 func TestModesFollowEachOther(t *testing.T) {
-	is := is.New(t)
-	l, _ := listen(t)
 	modes := []Mode{ModeSilent, ModeOneWay, ModeReset, ModeRefuse, ModeLate, ModeNoAccept, ModeFullQueue}
 	for _, first := range modes {
-		for _, second := range modes {
-			is.NoErr(l.SetMode(first))
-			is.NoErr(l.SetMode(second))
-			c := newClient()
-			c.Timeout = 30 * time.Millisecond
-			is.True(!answers(l, c))
-			is.NoErr(l.SetMode(ModePass))
-			if !answers(l, newClient()) {
-				t.Errorf("no answer after %s and %s", first, second)
+		t.Run(string(first), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			l, _ := listen(t)
+			for _, second := range modes {
+				is.NoErr(l.SetMode(first))
+				is.NoErr(l.SetMode(second))
+				c := newClient()
+				c.Timeout = 30 * time.Millisecond
+				is.True(!answers(l, c))
+				is.NoErr(l.SetMode(ModePass))
+				if !answers(l, newClient()) {
+					t.Errorf("no answer after %s", second)
+				}
 			}
-		}
+		})
 	}
 }
 
--- a/standin/crankfakeplan/draw.go
+++ b/standin/crankfakeplan/draw.go
@@ -68,7 +68,7 @@
 
 // common draws one of the disturbances that may come at any time.
 func (d *drawer) common(at time.Duration) {
-	switch d.rng.IntN(17) {
+	switch d.rng.IntN(18) {
 	case 0:
 		d.add(at, LosePower, d.seconds(1, 5), "", d.share(d.Instances, 0.16)...)
 	case 1:
@@ -102,6 +102,8 @@
 		d.add(at, Withdraw, 0, "")
 	case 16:
 		d.add(at, CutCallers, d.seconds(1, 5), d.pick(callWays...), d.share(d.Instances, 0.2)...)
+	case 17:
+		d.add(at, CutPeers, d.seconds(1, 6), d.pick(callWays...), d.pick("leader", d.pick(d.Instances...)))
 	}
 }
 
--- a/standin/crankfakeplan/plan.go
+++ b/standin/crankfakeplan/plan.go
@@ -25,8 +25,10 @@
 	LosePower Kind = "lose-power" // silent at once, a start at the end
 	HangUp    Kind = "hang-up"    // SIGHUP
 	CutStore  Kind = "cut-store"  // the instance's connections to the store
-	// CutCallers cuts the connections of callers to an instance.
+	// CutCallers and CutPeers cut the connections of callers and of other instances to an
+	// instance.
 	CutCallers Kind = "cut-callers"
+	CutPeers   Kind = "cut-peers"
 	// Of workers.
 	Drain    Kind = "drain"    // leaves in order after the drain time
 	Take     Kind = "take"     // draining, gone at the end
@@ -50,7 +52,7 @@
 )
 
 var kinds = []Kind{
-	Terminate, Kill, Pause, LosePower, HangUp, CutStore, CutCallers, Drain, Take, Remove, Silence, CutOff, LateCall, LoseCall,
+	Terminate, Kill, Pause, LosePower, HangUp, CutStore, CutCallers, CutPeers, Drain, Take, Remove, Silence, CutOff, LateCall, LoseCall,
 	Unwell, Fail, Slow, Pretend, Flap, Evacuate, SlowStore, DownStore, Compact, Configure, Withdraw,
 }
 
@@ -165,6 +167,11 @@
 	return d, d.check()
 }
 
+// Has reports whether the plan has a disturbance of a kind.
+func (p Plan) Has(k Kind) bool {
+	return slices.ContainsFunc(p, func(d Disturbance) bool { return d.Kind == k })
+}
+
 func (p Plan) sort() {
 	slices.SortStableFunc(p, func(a, b Disturbance) int { return int(a.At - b.At) })
 }
--- a/standin/crankfakeplan/reach.go
+++ b/standin/crankfakeplan/reach.go
@@ -40,7 +40,7 @@
 
 // hows holds the values of How by kind. Other kinds have none.
 var hows = map[Kind][]string{
-	CutStore: addressWays, DownStore: addressWays, CutCallers: callWays, Take: addressWays, Remove: addressWays,
+	CutStore: addressWays, DownStore: addressWays, CutCallers: callWays, CutPeers: callWays, Take: addressWays, Remove: addressWays,
 	Silence: {BackSameID, BackNewID}, CutOff: {BackSameID, BackNewID, BackAlive}, Fail: {FailAll, FailSome},
 }
 
@@ -52,7 +52,7 @@
 
 // check returns an error for values that the kind doesn't have.
 func (d Disturbance) check() error {
-	if d.How == "" && slices.Contains([]Kind{CutStore, DownStore, CutCallers}, d.Kind) {
+	if d.How == "" && slices.Contains([]Kind{CutStore, DownStore, CutCallers, CutPeers}, d.Kind) {
 		return fmt.Errorf("%s requires how=%s", d.Kind, strings.Join(hows[d.Kind], "|"))
 	}
 	if d.How != "" && !slices.Contains(hows[d.Kind], d.How) {
--- a/standin/crankfakeplan/reach_test.go
+++ b/standin/crankfakeplan/reach_test.go
@@ -15,6 +15,7 @@
 		"3s cut-off targets=north-w1 for=5s how=same-id way=reset store=cut from=north-1,zone:east",
 		"3s cut-off targets=north-w1 for=200ms how=alive way=moved-taken store=kept",
 		"3s cut-callers targets=leader for=2s how=full-queue",
+		"3s cut-peers targets=leader for=2s how=refuse",
 		"3s down-store for=2s how=refuse",
 	} {
 		is := is.New(t)
@@ -64,7 +65,7 @@
 				}
 			}
 			for _, way := range callWays {
-				for _, key := range []string{"restarted " + way, "leader " + way, "some " + way, "callers " + way} {
+				for _, key := range []string{"restarted " + way, "leader " + way, "some " + way, "cut-callers " + way, "cut-peers " + way} {
 					if drawn[key] == 0 {
 						t.Errorf("not drawn: %s", key)
 					}
@@ -89,8 +90,8 @@
 	switch d.Kind {
 	case CutStore, DownStore:
 		drawn[string(d.Kind)+" "+d.How]++
-	case CutCallers:
-		drawn["callers "+d.How]++
+	case CutCallers, CutPeers:
+		drawn[string(d.Kind)+" "+d.How]++
 	case CutOff:
 		switch {
 		case d.How == BackAlive:
@@ -120,7 +121,7 @@
 			}
 			for _, d := range p {
 				isLeader := len(d.Targets) == 1 && d.Targets[0] == "leader"
-				isOther := d.Kind == DownStore || d.Kind == Drain || (isLeader && d.Kind != CutStore && d.Kind != CutCallers)
+				isOther := d.Kind == DownStore || d.Kind == Drain || (isLeader && d.Kind != CutStore && d.Kind != CutCallers && d.Kind != CutPeers)
 				if isOther && d.At < c.At+c.For && c.At < d.At+max(d.For, 2*time.Second) {
 					near[d.Kind]++
 				}
--- a/standin/crankfakerig/site.go
+++ b/standin/crankfakerig/site.go
@@ -13,6 +13,7 @@
 	"cranberrycrank/standin/crankfakeinstance"
 	"cranberrycrank/standin/crankfakemachine"
 	"cranberrycrank/standin/crankfakenet"
+	"cranberrycrank/standin/crankfakeplan"
 	"cranberrycrank/standin/crankfakeplatform"
 	"cranberrycrank/standin/crankfakereport"
 	"cranberrycrank/standin/crankfakesite"
@@ -20,17 +21,35 @@
 
 func (r *Rig) addInstance(z crankfakesite.Zone, n int, size string) error {
 	host := len(r.instances) % crankfakenet.Hosts
-	known := func(addr string) string { return crankfakenet.AtHost(addr, host) }
+	addresses := crankfakeplatform.Addresses{Worker: func(known string) string { return crankfakenet.AtHost(known, host) }}
+	if r.Plan.Has(crankfakeplan.CutPeers) {
+		addresses.Peer = r.peerAddr
+	}
 	i, err := crankfakeinstance.Start(crankfakeinstance.Config{
 		Name: instanceName(z, n), Zone: z.Name, Size: r.Site.Sizes[size], Bounds: r.Site.Bounds, Binary: r.Binary,
-		Directory: r.Directory, Ports: r.ports, Store: crankfakeplatform.StoreHandlerWithAddresses(r.store, known), Host: host, Ended: r.ended,
+		Directory: r.Directory, Ports: r.ports, Store: crankfakeplatform.StoreHandlerWithAddresses(r.store, addresses), Host: host,
+		FrontPeers: addresses.Peer != nil, Ended: r.ended,
 	})
 	if i != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.instances = append(r.instances, i)
 	}
 	return err
 }
 
+// peerAddr returns the address at which instances call another one.
+func (r *Rig) peerAddr(known string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range r.instances {
+		if addr, ok := i.PeerAddr(known); ok {
+			return addr, true
+		}
+	}
+	return "", false
+}
+
 // ended takes the end of a process that no disturbance caused.
 func (r *Rig) ended(name string, e crankfakeinstance.End) {
 	if e == crankfakeinstance.EndPortTaken {
