Planted faults: late queued starts, runs not shown after resets

Cause: the ways no-accept and reset had no planted fault. Change: starts that came while a worker accepted no connections take effect after their time; a worker that was not called for a while no longer shows its runs.

--- a/standin/crankfakerig/planted_reach_test.go
+++ b/standin/crankfakerig/planted_reach_test.go
@@ -80,6 +80,54 @@
 	return r, err
 }
 
+// straggler lets starts that come while it is out of reach take effect after their time.
+type straggler struct {
+	crank.LeasedWorker
+	id     string
+	isAway func(id string) bool
+}
+
+const straggleTime = 4 * time.Second
+
+func (w straggler) Start(ctx context.Context, o crank.RunOrder) (crank.OrderReply, error) {
+	if !w.isAway(w.id) {
+		return w.LeasedWorker.Start(ctx, o)
+	}
+	o.DeadlineMs += 2 * straggleTime.Milliseconds()
+	time.AfterFunc(straggleTime, func() { _, _ = w.LeasedWorker.Start(context.Background(), o) })
+	<-ctx.Done()
+	return crank.OrderReply{}, ctx.Err()
+}
+
+// amnesiac no longer shows the runs that it has when it was not called for a while.
+type amnesiac struct {
+	crank.LeasedWorker
+	id     string
+	called *sync.Map // time.Time of the last call by worker ID
+	hidden *sync.Map // by worker ID and task
+}
+
+const amnesiaTime = time.Second
+
+func (w amnesiac) Renew(ctx context.Context, o crank.RenewOrder) (crank.RenewReport, error) {
+	last, ok := w.called.Swap(w.id, time.Now())
+	forgets := ok && time.Since(last.(time.Time)) > amnesiaTime
+	r, err := w.LeasedWorker.Renew(ctx, o)
+	w.called.Store(w.id, time.Now())
+	var shown []crank.ActiveRun
+	for _, a := range r.Active {
+		key := w.id + " " + a.Task.String()
+		if forgets {
+			w.hidden.Store(key, true)
+		}
+		if _, ok := w.hidden.Load(key); !ok {
+			shown = append(shown, a)
+		}
+	}
+	r.Active = shown
+	return r, err
+}
+
 // isAway reports whether a worker doesn't take tasks.
 func (r *Rig) isAway(id string) bool {
 	for _, m := range r.machines {
@@ -112,6 +160,17 @@
 				return hider{w, e.ID, r.isAway, hidden}
 			}}
 		}},
+		"queued start takes effect late": {site: longRunHall, way: crankfakeplan.WayBusy, violation: twoRuns, apply: func(r *Rig) {
+			r.dialer = planted{r.fleet, func(w crank.LeasedWorker, e crank.WorkerEntry) crank.LeasedWorker {
+				return straggler{w, e.ID, r.isAway}
+			}}
+		}},
+		"runs are not shown after resets": {site: longRunHall, way: crankfakeplan.WayReset, violation: twoRuns, apply: func(r *Rig) {
+			called, hidden := &sync.Map{}, &sync.Map{}
+			r.dialer = planted{r.fleet, func(w crank.LeasedWorker, e crank.WorkerEntry) crank.LeasedWorker {
+				return amnesiac{w, e.ID, called, hidden}
+			}}
+		}},
 	}
 }
 
