Emulator: a cut from the store ends also while the instance stops

Cause: an outage of the store that ended while an instance was stopping or killed was not ended for its connections, which stayed cut for the rest of the play: the end was passed over for any instance that was down, and only one that had lost power gets its connections back later. Change: it is passed over for an instance without power only.

--- a/standin/crankfakeinstance/instance.go
+++ b/standin/crankfakeinstance/instance.go
@@ -58,6 +58,7 @@
 	cmd     *exec.Cmd
 	exited  chan struct{} // closed once cmd has ended
 	down    bool          // killed, or being stopped, by a disturbance
+	dark    bool          // without power
 	closed  bool
 	pauses  int       // that have not ended
 	resumed time.Time // end of the last one
@@ -263,17 +264,25 @@
 // losePower stops the process without any packet to others.
 func (i *Instance) losePower() error {
 	i.signal(syscall.SIGSTOP)
+	i.setDark(true)
 	return i.store.SetMode(crankfakenet.ModeSilent)
 }
 
 func (i *Instance) regainPower() error {
 	i.end()
+	i.setDark(false)
 	if err := i.store.SetMode(crankfakenet.ModePass); err != nil {
 		return err
 	}
 	return i.start()
 }
 
+func (i *Instance) setDark(dark bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.dark = dark
+}
+
 // maxMisses is the number of probes without an answer after which an instance isn't
 // ready.
 const maxMisses = 2
@@ -302,7 +311,10 @@
 
 // Reconnect ends a cut from the store, unless the instance has lost power.
 func (i *Instance) Reconnect() error {
-	if i.IsDown() {
+	i.mu.Lock()
+	dark := i.dark
+	i.mu.Unlock()
+	if dark {
 		return nil
 	}
 	return i.store.SetMode(crankfakenet.ModePass)
