--- a/standin/crankfakeplan/cut.go
+++ b/standin/crankfakeplan/cut.go
@@ -76,3 +76,21 @@
 }
 
 func (d *drawer) chance(share float64) bool { return d.rng.Float64() < share }
+
+// askingMargin is the time from outages of the store to the moment when all are asked for.
+const askingMargin = time.Second
+
+// spareAsking ends outages in which the store answers at once that it is away before all
+// jobs are asked for: callers would be refused as quickly as they repeat their call.
+func (d *drawer) spareAsking() {
+	if d.Asked == 0 {
+		return
+	}
+	for n := range d.plan {
+		p := &d.plan[n]
+		if p.Kind == DownStore && (p.How == WayRefuse || p.How == WayReset) {
+			p.At = min(p.At, d.Asked-2*askingMargin)
+			p.For = min(p.For, d.Asked-askingMargin-p.At)
+		}
+	}
+}
--- a/standin/crankfakeplan/reach_test.go
+++ b/standin/crankfakeplan/reach_test.go
@@ -134,3 +134,25 @@
 		}
 	}
 }
+
+func TestStoreIsBackBeforeJobsAreAskedFor(t *testing.T) {
+	s := scope()
+	s.Asked = s.Traffic + 14*time.Second
+	late := 0
+	for seed := range uint64(2000) {
+		for _, d := range Draw(s, seed) {
+			if d.Kind != DownStore {
+				continue
+			}
+			answers := d.How == WayRefuse || d.How == WayReset
+			if end := d.At + d.For; answers && (end > s.Asked-askingMargin || d.For <= 0) {
+				t.Errorf("seed %d: %s", seed, d)
+			} else if end > s.Asked {
+				late++
+			}
+		}
+	}
+	if late == 0 {
+		t.Error("no outage without answers lasts until the jobs are asked for")
+	}
+}
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -155,7 +155,8 @@
 
 // Scope returns what the plans of a site are drawn for.
 func Scope(site crankfakesite.Site) crankfakeplan.Scope {
-	s := crankfakeplan.Scope{Traffic: site.Bounds.TrafficTime, Recovery: site.Bounds.RecoveryTime}
+	b := site.Bounds
+	s := crankfakeplan.Scope{Traffic: b.TrafficTime, Recovery: b.RecoveryTime, Asked: b.TrafficEnd() + b.SettleTime}
 	for _, z := range site.Zones {
 		s.Zones = append(s.Zones, z.Name)
 		for n := range z.Instances {
