--- a/standin/crankfakeinstance/instance.go
+++ b/standin/crankfakeinstance/instance.go
@@ -28,6 +28,8 @@
 	Directory  string // for its settings and its log
 	Ports      *crankfakenet.Ports
 	Store      http.Handler
+	Host       int                      // at which it calls workers
+	FrontPeers bool                     // whether other instances can be cut off
 	Ended      func(name string, e End) // called for an end that is no disturbance's
 }
 
@@ -44,7 +46,9 @@
 // Instance is an entry instance, whose process may be replaced.
 type Instance struct {
 	Config
-	addr    string
+	callers *crankfakenet.Front
+	peers   *crankfakenet.Front // nil if other instances call the process itself
+	peer    string              // the address of the process for them
 	ready   string
 	logPath string
 	logFile *os.File
@@ -54,6 +58,7 @@
 	cmd     *exec.Cmd
 	exited  chan struct{} // closed once cmd has ended
 	down    bool          // killed, or being stopped, by a disturbance
+	dark    bool          // without power
 	closed  bool
 	pauses  int       // that have not ended
 	resumed time.Time // end of the last one
@@ -79,6 +84,16 @@
 		return nil, err
 	}
 	store.SetDelay(StoreDelay)
+	callers, err := c.Ports.Front(addrs[0])
+	if err != nil {
+		return nil, err
+	}
+	var peers *crankfakenet.Front
+	if c.FrontPeers {
+		if peers, err = c.Ports.Front(addrs[2]); err != nil {
+			return nil, err
+		}
+	}
 	_, metrics, _ := net.SplitHostPort(addrs[3])
 	b := c.Bounds
 	text := fmt.Sprintf(`[instance]
@@ -101,7 +116,7 @@
 [running]
 drain-timeout = %s
 `, c.Name, c.Zone, addrs[0], addrs[1], addrs[2], metrics, c.Size.Share, c.Size.MemoryMiB, store.Addr(), b.ConfigTime, b.LongestLease, b.StopTime, b.GangTimeout, b.Heartbeat, b.GraceTime)
-	i := &Instance{Config: c, addr: addrs[0], ready: addrs[1], store: store, logPath: filepath.Join(c.Directory, c.Name+".log")}
+	i := &Instance{Config: c, callers: callers, peers: peers, peer: addrs[2], ready: addrs[1], store: store, logPath: filepath.Join(c.Directory, c.Name+".log")}
 	if err := os.WriteFile(i.settingsPath(), []byte(text), 0o600); err != nil {
 		return nil, crank.Wrap(op, crank.KindUnavailable, err)
 	}
@@ -112,7 +127,7 @@
 }
 
 // Addr returns the address for callers.
-func (i *Instance) Addr() string { return i.addr }
+func (i *Instance) Addr() string { return i.callers.Addr() }
 
 // Store returns the listener of the store that the instance uses.
 func (i *Instance) Store() *crankfakenet.Listener { return i.store }
@@ -126,6 +141,9 @@
 	i.mu.Unlock()
 	i.end()
 	i.store.Close()
+	for _, f := range i.fronts() {
+		f.Close()
+	}
 	i.logFile.Close()
 }
 
@@ -143,9 +161,15 @@
 	}
 	exited := make(chan struct{})
 	i.cmd, i.exited, i.down = cmd, exited, false
+	for _, f := range i.fronts() {
+		go i.noteFront(f.Begin)
+	}
 	go func() {
 		_ = cmd.Wait() // an error for a killed process
-		i.noteExit()   // before the next process starts
+		for _, f := range i.fronts() {
+			i.noteFront(f.End)
+		}
+		i.noteExit() // before the next process starts
 		close(exited)
 	}()
 	return nil
@@ -240,17 +264,25 @@
 // losePower stops the process without any packet to others.
 func (i *Instance) losePower() error {
 	i.signal(syscall.SIGSTOP)
+	i.setDark(true)
 	return i.store.SetMode(crankfakenet.ModeSilent)
 }
 
 func (i *Instance) regainPower() error {
 	i.end()
+	i.setDark(false)
 	if err := i.store.SetMode(crankfakenet.ModePass); err != nil {
 		return err
 	}
 	return i.start()
 }
 
+func (i *Instance) setDark(dark bool) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.dark = dark
+}
+
 // maxMisses is the number of probes without an answer after which an instance isn't
 // ready.
 const maxMisses = 2
@@ -279,7 +311,10 @@
 
 // Reconnect ends a cut from the store, unless the instance has lost power.
 func (i *Instance) Reconnect() error {
-	if i.IsDown() {
+	i.mu.Lock()
+	dark := i.dark
+	i.mu.Unlock()
+	if dark {
 		return nil
 	}
 	return i.store.SetMode(crankfakenet.ModePass)
@@ -289,7 +324,7 @@
 // down already.
 func (i *Instance) Disturb(d crankfakeplan.Disturbance) (func() error, error) {
 	switch d.Kind {
-	case crankfakeplan.HangUp, crankfakeplan.CutStore, crankfakeplan.Pause:
+	case crankfakeplan.HangUp, crankfakeplan.CutStore, crankfakeplan.CutCallers, crankfakeplan.CutPeers, crankfakeplan.Pause:
 		if i.IsDown() {
 			return nil, nil
 		}
@@ -325,6 +360,10 @@
 		return func() error { return nil }, nil
 	case crankfakeplan.CutStore:
 		return i.Reconnect, i.store.SetMode(crankfakenet.Mode(d.How))
+	case crankfakeplan.CutCallers:
+		return cut(i.callers, d)
+	case crankfakeplan.CutPeers:
+		return cut(i.peers, d)
 	}
 	return nil, crank.Fail("instance disturbance", crank.KindInvalid, "%q is no disturbance of an instance", d.Kind)
 }
--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -45,7 +45,7 @@
 	store     *crankfakestore.Store
 	fleet     *crankfakefleet.Fleet
 	dialer    crank.LeaseDialer            // of the fleet, unless a test plants a fault
-	ghosts    bool                         // a test's: workers that left stay listed and answer
+	plants    crankfakemachine.Plants      // of a test
 	encode    func(j crank.StepJob) []byte // of submissions, unless a test plants a fault
 	watch     *crankfakewatch.Watch
 	ports     *crankfakenet.Ports
@@ -155,7 +155,8 @@
 
 // Scope returns what the plans of a site are drawn for.
 func Scope(site crankfakesite.Site) crankfakeplan.Scope {
-	s := crankfakeplan.Scope{Traffic: site.Bounds.TrafficTime, Recovery: site.Bounds.RecoveryTime}
+	b := site.Bounds
+	s := crankfakeplan.Scope{Traffic: b.TrafficTime, Recovery: b.RecoveryTime, Asked: b.TrafficEnd() + b.SettleTime}
 	for _, z := range site.Zones {
 		s.Zones = append(s.Zones, z.Name)
 		for n := range z.Instances {
--- a/standin/crankfakerig/site.go
+++ b/standin/crankfakerig/site.go
@@ -12,22 +12,44 @@
 	"cranberrycrank/standin/crankfakefleet"
 	"cranberrycrank/standin/crankfakeinstance"
 	"cranberrycrank/standin/crankfakemachine"
+	"cranberrycrank/standin/crankfakenet"
+	"cranberrycrank/standin/crankfakeplan"
 	"cranberrycrank/standin/crankfakeplatform"
 	"cranberrycrank/standin/crankfakereport"
 	"cranberrycrank/standin/crankfakesite"
 )
 
 func (r *Rig) addInstance(z crankfakesite.Zone, n int, size string) error {
+	host := len(r.instances) % crankfakenet.Hosts
+	addresses := crankfakeplatform.Addresses{Worker: func(known string) string { return crankfakenet.AtHost(known, host) }}
+	if r.Plan.Has(crankfakeplan.CutPeers) {
+		addresses.Peer = r.peerAddr
+	}
 	i, err := crankfakeinstance.Start(crankfakeinstance.Config{
 		Name: instanceName(z, n), Zone: z.Name, Size: r.Site.Sizes[size], Bounds: r.Site.Bounds, Binary: r.Binary,
-		Directory: r.Directory, Ports: r.ports, Store: crankfakeplatform.StoreHandler(r.store), Ended: r.ended,
+		Directory: r.Directory, Ports: r.ports, Store: crankfakeplatform.StoreHandlerWithAddresses(r.store, addresses), Host: host,
+		FrontPeers: addresses.Peer != nil, Ended: r.ended,
 	})
 	if i != nil {
+		r.mu.Lock()
+		defer r.mu.Unlock()
 		r.instances = append(r.instances, i)
 	}
 	return err
 }
 
+// peerAddr returns the address at which instances call another one.
+func (r *Rig) peerAddr(known string) (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, i := range r.instances {
+		if addr, ok := i.PeerAddr(known); ok {
+			return addr, true
+		}
+	}
+	return "", false
+}
+
 // ended takes the end of a process that no disturbance caused.
 func (r *Rig) ended(name string, e crankfakeinstance.End) {
 	if e == crankfakeinstance.EndPortTaken {
@@ -42,7 +64,7 @@
 	entry.Pool = pool
 	m, err := crankfakemachine.Start(crankfakemachine.Config{
 		Name: machineName(z, n), Heartbeat: r.Site.Bounds.Heartbeat, Fleet: r.fleet, Dialer: r.dialer, Store: r.store,
-		Entry: entry, Ports: r.ports, SetFault: r.setFault, SetFailing: r.setFailing, Ghosts: r.ghosts,
+		Entry: entry, Ports: r.ports, SetFault: r.setFault, SetFailing: r.setFailing, Plants: r.plants,
 	})
 	if err != nil {
 		return err
