proofs, docs: how long tasks wait after each real end of a worker

Cause: refused connections and 421 answers no longer end runs, and the pages still said that they do, or did not say how long tasks wait then. The plays of waits had no worker whose address refuses. Change: workers whose process is killed and whose address refuses calls from then on, until another worker has it, or until they come back; the same after a short notice and after a departure; a worker that refuses connections while it runs on.

--- a/proofs/crankentryproof/wait_play_test.go
+++ b/proofs/crankentryproof/wait_play_test.go
@@ -43,6 +43,7 @@
 	// guarded by cluster.mu
 	onlyLeader bool // of the instances reaches the target
 	onlyTarget bool // of the workers is reached by the leader
+	noListener bool // at the target's address, as it seems; it runs on
 }
 
 // losses maps what is lost to what happens then. They are called at the loss.
@@ -85,7 +86,10 @@
 }
 
 // noticeTimes holds how long workers drain before they go.
-var noticeTimes = map[string]time.Duration{"drains and leaves": 4 * time.Second, "short notice": 2 * time.Second}
+var noticeTimes = map[string]time.Duration{
+	"drains and leaves": 4 * time.Second, "drains and leaves, refuses": 4 * time.Second,
+	"short notice": 2 * time.Second, "short notice, refuses": 2 * time.Second,
+}
 
 // workerEvents maps what happens at workers to how they go. A worker that drains has done
 // so for its notice time.
@@ -104,7 +108,24 @@
 		s.losePower(s.target)
 		s.removeEntry(s.target)
 	},
-	"short notice": func(s *stage) { s.powerOff(s.target) },
+	"drains and leaves, refuses": func(s *stage) {
+		s.leave(s.target)
+		s.removeEntry(s.target)
+	},
+	"short notice":          func(s *stage) { s.powerOff(s.target) },
+	"short notice, refuses": func(s *stage) { s.killProcess(s.target) },
+	"killed, refuses":       func(s *stage) { s.killProcess(s.target) },
+	"killed, refuses, same ID": func(s *stage) {
+		s.leave(s.target)
+		s.later(downTime, func() { s.comeBack(s.target) })
+	},
+	"killed, refuses, new ID": func(s *stage) {
+		s.killProcess(s.target)
+		s.later(downTime, func() {
+			s.fleet.Replace(s.target)
+			s.addWorker(waitWorkers)
+		})
+	},
 	"new ID at its address": func(s *stage) {
 		s.powerOff(s.target)
 		s.later(downTime, func() {
@@ -139,6 +160,15 @@
 			s.reconnectWorker(s.target)
 		})
 	},
+	"refuses, runs on": func(s *stage) {
+		s.update(func() { s.meter.refusing[s.target], s.noListener = true, true })
+		s.later(refuseTime, func() {
+			s.update(func() {
+				delete(s.meter.refusing, s.target)
+				s.noListener = false
+			})
+		})
+	},
 	"reports refused": func(s *stage) {
 		s.update(func() { s.meter.refusing[s.target] = true })
 		s.later(refuseTime, func() {
@@ -152,7 +182,8 @@
 	isLeader, isTarget := caller == s.leaderCaller, worker == s.target
 	return crankfakefleet.Fault{
 		DropRequest: (s.onlyLeader && isTarget && !isLeader) || (s.onlyTarget && isLeader && !isTarget),
-		Refuse:      s.meter.refusing[worker] && call == "hold",
+		NoListener:  s.noListener && isTarget,
+		Refuse:      s.meter.refusing[worker] && call == "hold" && !s.noListener,
 	}
 }
 
@@ -162,6 +193,12 @@
 	s.expireEntry(id)
 }
 
+// killProcess ends a worker's process: its address refuses calls, and its entry expires.
+func (s *stage) killProcess(id string) {
+	s.leave(id)
+	s.expireEntry(id)
+}
+
 func (s *stage) comeBack(id string) {
 	s.restart(id)
 	s.store.Put(crank.WorkerTopic, id, crankfakeplatform.EncodeEntry(s.workerEntries[id]))
