sched: a worker that is listed again is not ended by an earlier entry

Cause: that a later start time had been listed stayed known after the incarnation was listed again, so that a late entry ended it once it fell silent; and a failed renewal could end it by the entry and ask for an incarnation without a start time. Change: the newest entry counts; a renewal ends an incarnation only by the answer of a later one.

--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -73,7 +73,7 @@
 		w.laterMs = max(w.laterMs, startTimeMs)
 		w.contradicted = startTimeMs < w.entry.StartTimeMs
 	}
-	if v := s.judge(w, time.Now()); v.Evidence() == crankevidence.Restarted {
+	if v := s.judge(w, time.Now()); w.laterMs > w.entry.StartTimeMs && v.Over() {
 		s.endIncarnation(w, v)
 		s.askNext(w, w.laterMs)
 		return
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -98,7 +98,7 @@
 			s.changed = true
 		}
 		moved := e.Addr != w.entry.Addr
-		w.entry, w.unlistedSince = e, time.Time{}
+		w.entry, w.unlistedSince, w.listedMs = e, time.Time{}, 0
 		if moved {
 			s.redirect(w)
 		}
--- a/proofs/crankentryproof/late_entry_test.go
+++ b/proofs/crankentryproof/late_entry_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/standin/crankfakefleet"
 	"cranberrycrank/standin/crankfakeplatform"
 
 	"github.com/matryer/is"
@@ -13,7 +14,16 @@
 // The last entry of a worker's former incarnation, stored late, ended the next one, whose
 // start time was earlier since its clock had been set back, while that one answered.
 func TestLateEntryEndsNoWorkerThatAnswers(t *testing.T) {
-	playLateEntry(t, func(*cluster) {})
+	playLateEntry(t, func(*cluster) {}, func(*cluster, string) {})
+}
+
+// Such an entry ended a worker that had been listed again as soon as it fell silent.
+func TestWorkerListedAgainAfterALateEntryKeepsItsLease(t *testing.T) {
+	playLateEntry(t, func(*cluster) {}, func(c *cluster, worker string) {
+		c.disturb(worker, crankfakefleet.Fault{NoListener: true}, false)
+		time.Sleep(2500 * time.Millisecond)
+		clearWorkerFaults(c)
+	})
 }
 
 // A leader that was just elected accounted for a worker that ran on when such an entry of
@@ -22,12 +32,12 @@
 	playLateEntry(t, func(c *cluster) {
 		c.kill(c.leader())
 		time.Sleep(500 * time.Millisecond)
-	})
+	}, func(*cluster, string) {})
 }
 
 // playLateEntry stores the last entry of a worker's former incarnation after the next one
-// has got tasks and the leader was lost.
-func playLateEntry(t *testing.T, lose func(c *cluster)) {
+// has got tasks and the leader was lost. What comes then comes once the next one is listed again.
+func playLateEntry(t *testing.T, lose func(c *cluster), then func(c *cluster, worker string)) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
 		c.setUp(2)
@@ -50,6 +60,7 @@
 		lose(c)
 		c.store.Put(crank.WorkerTopic, worker, crankfakeplatform.EncodeEntry(former))
 		time.Sleep(5 * time.Second)
+		then(c, worker)
 		c.ensureAllRunning()
 		c.awaitPhase("a", "patient", "job1", crank.PhaseCompleted, 30*time.Second)
 		is.Equal(c.fleet.Runs(), tasks) // each ran once
