Readings of workers' clocks are as close as the best answer

Cause: a limit of a lease is dated by readings of workers' clocks. A reading was bounded by when its renewal was sent, but a renewal waits up to 1.5 s for an end: the limit counted for that much too long at an instance that had just started. It showed once a worker that refuses was found to be silent within 150 ms: a rolling restart kept its tasks waiting for 10.6 s (bound 10.5 s). Change: the closest bound of all readings holds, since the clock is not fast.

--- a/internal/crankfleet/former_test.go
+++ b/internal/crankfleet/former_test.go
@@ -44,13 +44,27 @@
 	k := NewLeaseKeeper(LeaseKeeperConfig{Uptime: func() time.Duration { return uptime }})
 	_, ok := k.Clock()
 	is.True(!ok)
-	k.workerClock, k.clockRead, k.readUptime = 1000, time.Now(), uptime
+	k.noteClock(1000, uptime, time.Now())
 	uptime += 5 * time.Second // the steady clock stood still
 	ms, ok := k.Clock()
 	is.True(ok)
 	is.True(ms >= 6000)
 }
 
+// A reading that a renewal waited for was taken for one made as it was sent, up to 1.5 s too late,
+// so that the limits of leases beside it counted for too long.
+func TestClockReadingIsAsCloseAsTheBestAnswer(t *testing.T) {
+	is := is.New(t)
+	uptime := 10 * time.Second
+	k := NewLeaseKeeper(LeaseKeeperConfig{Uptime: func() time.Duration { return uptime }})
+	k.noteClock(1000, uptime, time.Now())
+	k.noteClock(2500, uptime, time.Now()) // after a wait of 1.5 s
+	uptime += 1500 * time.Millisecond
+	ms, ok := k.Clock()
+	is.True(ok)
+	is.True(ms >= 2500 && ms < 2510)
+}
+
 // The first deadline after a long time without an answer outlasted the bound at a worker whose
 // clock is slow.
 func TestDeadlineAfterALongSilenceKeepsTheBound(t *testing.T) {
--- a/internal/crankfleet/keeper.go
+++ b/internal/crankfleet/keeper.go
@@ -57,7 +57,7 @@
 	leaseExpiry time.Time // see LeaseExpiry
 	workerClock int64     // worker's clock at clockRead, in ms
 	clockRead   time.Time
-	readUptime  time.Duration // at clockRead
+	clockAhead  time.Duration // of the worker's clock, ahead of the uptime here, at most
 	ending      bool          // the lease is not extended
 	ackedEnd    int64         // ends up to this number are recorded; used by Run only
 	extended    bool          // the last renewal extended the lease; used by Run only
@@ -124,7 +124,17 @@
 	if k.clockRead.IsZero() {
 		return 0, false
 	}
-	return k.workerClock + (k.Uptime() - k.readUptime).Milliseconds() + 1, true
+	return (k.Uptime() + k.clockAhead).Milliseconds() + 1, true
+}
+
+// noteClock notes a reading of the worker's clock, which is made after the renewal is sent.
+// The clock is not fast, so that each reading bounds all later times on it. The caller holds
+// the lock.
+func (k *LeaseKeeper) noteClock(ms int64, sent time.Duration, received time.Time) {
+	if ahead := time.Duration(ms)*time.Millisecond - sent; k.clockRead.IsZero() || ahead < k.clockAhead {
+		k.clockAhead = ahead
+	}
+	k.workerClock, k.clockRead = ms, received
 }
 
 func (k *LeaseKeeper) mayLastUntil(expiry time.Time) {
@@ -220,7 +230,7 @@
 			}
 			k.mayLastUntil(expiry)
 		}
-		k.workerClock, k.clockRead, k.readUptime = report.ClockMs, r.Received, sentUptime
+		k.noteClock(report.ClockMs, sentUptime, r.Received)
 		k.mu.Unlock()
 	}
 	return r
