--- a/proofs/crankentryproof/state_age_test.go
+++ b/proofs/crankentryproof/state_age_test.go
@@ -72,11 +72,15 @@
 				is.Equal(got, crank.Phase(""))
 				is.Equal(crank.KindOf(err), crank.KindUnavailable)
 
-				time.AfterFunc(500*time.Millisecond, func() { stop = follow() })
+				followed := make(chan func(), 1)
+				go func() {
+					time.Sleep(500 * time.Millisecond)
+					followed <- follow()
+				}()
 				got, err = ask()
 				is.NoErr(err)
 				is.Equal(got, crank.PhaseCompleted) // it was read while the request waited
-				stop()
+				(<-followed)()
 			})
 		})
 	}
