proofs: heartbeats under way come before the removal of an entry

Cause: two tests removed the entry of a worker that had left in the moment in which a heartbeat of it may be written; stored after the removal, it listed the former incarnation again, and the next one, whose clock was set back, got no task in time. Change: the removal comes 10 ms later.

--- a/proofs/crankentryproof/clock_step_test.go
+++ b/proofs/crankentryproof/clock_step_test.go
@@ -35,6 +35,7 @@
 		c.drain(worker)
 		time.Sleep(3 * time.Second)
 		c.leave(worker)
+		time.Sleep(10 * time.Millisecond) // a heartbeat that is being written comes before the removal
 		c.removeEntry(worker)
 		time.Sleep(3 * time.Second)
 		c.restartWithClockSetBack(worker)
--- a/proofs/crankentryproof/late_entry_test.go
+++ b/proofs/crankentryproof/late_entry_test.go
@@ -48,6 +48,7 @@
 		var former crank.WorkerEntry
 		c.update(func() { former = c.workerEntries[worker] })
 		c.leave(worker)
+		time.Sleep(10 * time.Millisecond) // a heartbeat that is being written comes before the removal
 		c.removeEntry(worker)
 		time.Sleep(time.Second)
 		c.restartWithClockSetBack(worker)
