--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -392,3 +392,67 @@
 	return verdict{inTime < wanted, fmt.Sprintf("of %d tasks within the guarantee %d had begun after %s and %d after %s; %d of %d accelerators were in use",
 		wanted, inTime, reclaimTime, begun(), time.Since(confirmed).Round(time.Second), workers, 8*workers)}, nil
 }
+
+// playLeasesLapseInSilence: the open channels between the instances and the workers go silent
+// for good, while new ones work. A service whose tasks run on one of the workers may have one
+// unavailable.
+func playLeasesLapseInSilence(d *deployment, trouble bool) (verdict, error) {
+	const workers, tasks, most = 8, 8, 1
+	const service = "5e0000000000000a"
+	all, err := d.setUp(workers, lahoreWorker, 0)
+	if err != nil {
+		return verdict{}, err
+	}
+	if !d.submit(patientQueue, tenantKey, service, jobStep{Count: tasks, CPU: 7500, Memory: 8192, GPU: 1, LongRunning: true, MaxUnavailable: most}) ||
+		!d.awaitRunning(service, tasks, 5*time.Second) {
+		return verdict{}, errors.New("the service does not run")
+	}
+	time.Sleep(5 * time.Second)
+	silenced, silencedAt := 0, time.Now()
+	if trouble {
+		for _, w := range all {
+			silenced += w.proxy.silence()
+		}
+		d.record.line("%d open channels to workers are silent for good", silenced)
+	}
+	time.Sleep(20 * time.Second)
+	lapsed, first := 0, time.Duration(0)
+	for _, e := range d.fleet.events(service) {
+		if e.what == "ended lapsed" && e.at.Sub(silencedAt) > touchTime {
+			if lapsed == 0 {
+				first = e.at.Sub(silencedAt)
+			}
+			lapsed++
+		}
+	}
+	return verdict{lapsed > most, fmt.Sprintf("%d tasks at work on workers that new channels reach lost their lease, the first %s after the channels went silent; %d may be away",
+		lapsed, first.Round(time.Millisecond), most)}, nil
+}
+
+// playGangBehindService: a service of one small task on each worker may have one task
+// unavailable. A gang of two whole workers comes within its tenant's guarantee. Without the
+// disturbance the service has no such limit.
+func playGangBehindService(d *deployment, trouble bool) (verdict, error) {
+	const workers, wanted = 8, 2
+	const survey, service, claim = "5e0000000000000a", "5e0000000000000b", "5e0000000000000c"
+	if _, err := d.setUp(workers, lahoreWorker, 8*wanted); err != nil {
+		return verdict{}, err
+	}
+	if !d.submit(patientQueue, tenantKey, survey, jobStep{Count: 2 * workers, CPU: 26000, Memory: 16384, GPU: 2, EstimateMs: 6800}) ||
+		!d.awaitRunning(survey, 2*workers, 5*time.Second) {
+		return verdict{}, errors.New("the survey does not run")
+	}
+	step := jobStep{Count: workers, CPU: 7500, Memory: 8192, GPU: 1, LongRunning: true}
+	if trouble {
+		step.MaxUnavailable = 1
+	}
+	if !d.submit(patientQueue, tenantKey, service, step) || !d.awaitRunning(service, workers, 5*time.Second) {
+		return verdict{}, errors.New("the service does not run")
+	}
+	time.Sleep(9 * time.Second)
+	if !d.submit(urgentQueue, tenantKey, claim, jobStep{Count: wanted, Gang: true, CPU: 7500, Memory: 16384, GPU: 8, EstimateMs: 2500}) {
+		return verdict{}, errors.New("the claim was not accepted")
+	}
+	time.Sleep(20 * time.Second)
+	return verdict{!d.fleet.started(claim), fmt.Sprintf("the gang has begun within 20 s: %t", d.fleet.started(claim))}, nil
+}
--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -40,6 +40,7 @@
 	MaxUnavailable int    `json:"max_unavailable,omitempty"`
 	TargetMs       int64  `json:"target_ms,omitempty"`
 	FillCount      bool   `json:"fill_count,omitempty"`
+	Gang           bool   `json:"gang,omitempty"`
 	Image          string `json:"image,omitempty"`
 }
 
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -66,7 +66,7 @@
 	fleet                         *fleet
 	born                          int64
 	begun                         time.Time
-	listener                      net.Listener
+	proxy                         *proxy // leads to its listener
 	server                        *http.Server
 
 	mu       sync.Mutex
@@ -136,9 +136,13 @@
 	if err != nil {
 		return nil, err
 	}
+	p, err := newProxy(l.Addr().String())
+	if err != nil {
+		return nil, err
+	}
 	w := &worker{
 		id: id, zone: zone, rack: rack, kind: kind, service: serviceName, capacity: capacity, bounds: b, fleet: f, born: time.Now().UnixMilli(), begun: time.Now(),
-		listener: l, active: make(map[string]*taskRun), refused: make(map[string]int64),
+		proxy: p, active: make(map[string]*taskRun), refused: make(map[string]int64),
 	}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", w.serve(w.start))
@@ -181,7 +185,7 @@
 		state = "draining"
 	}
 	entry, err := json.Marshal(map[string]any{
-		"service": w.service, "address": w.listener.Addr().String(), "zone": w.zone, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
+		"service": w.service, "address": w.proxy.addr(), "zone": w.zone, "version": "v1", "slots": 8, "state": state, "cold_remaining_ms": 0,
 		"capacity": w.capacity, "labels": []string{w.kind, w.rack}, "clock_ms": w.clock().Milliseconds(), "sequence": w.sequence, "born": w.born,
 	})
 	down := w.down || w.silent
@@ -252,6 +256,7 @@
 	w.active = make(map[string]*taskRun)
 	w.mu.Unlock()
 	w.stopBeat()
+	w.proxy.close()
 	_ = w.server.Close()
 	w.fleet.record.line("worker %s: process ends", w.id)
 }
