--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -456,3 +456,53 @@
 	time.Sleep(20 * time.Second)
 	return verdict{!d.fleet.started(claim), fmt.Sprintf("the gang has begun within 20 s: %t", d.fleet.started(claim))}, nil
 }
+
+// playServiceBehindReservation: a gang waits for one more worker than is free. An urgent task
+// that lasts comes, while small jobs keep coming.
+func playServiceBehindReservation(d *deployment, trouble bool) (verdict, error) {
+	const workers, taken, wanted = 8, 5, 4
+	const gang, service = "5e0000000000000a", "5e0000000000000b"
+	if _, err := d.setUp(workers, lahoreWorker, 0); err != nil {
+		return verdict{}, err
+	}
+	whole := jobStep{Count: 1, CPU: 16000, Memory: 16384, GPU: 8, EstimateMs: 80_000}
+	for n := range taken {
+		id := fmt.Sprintf("5e000000000001%02d", n)
+		if !d.submit(urgentQueue, tenantKey, id, whole) || !d.awaitRunning(id, 1, 5*time.Second) {
+			return verdict{}, errors.New("an urgent job does not run")
+		}
+	}
+	stop := make(chan struct{})
+	var traffic sync.WaitGroup
+	traffic.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(time.Second):
+				d.submit(patientQueue, tenantKey, fmt.Sprintf("5e00000000002%03d", n), jobStep{Count: 1, CPU: 1000, Memory: 1024, EstimateMs: 1000})
+			}
+		}
+	})
+	if trouble {
+		members := whole
+		members.Count, members.Gang, members.EstimateMs = wanted, true, 8000
+		if !d.submit(urgentQueue, tenantKey, gang, members) {
+			return verdict{}, errors.New("the gang was not accepted")
+		}
+	}
+	time.Sleep(5 * time.Second)
+	if !d.submit(urgentQueue, tenantKey, service, jobStep{Count: 1, CPU: 4000, Memory: 4096, GPU: 1, LongRunning: true}) {
+		return verdict{}, errors.New("the service was not accepted")
+	}
+	accepted, begun := time.Now(), time.Duration(0)
+	for time.Since(accepted) < 30*time.Second && begun == 0 {
+		if len(d.placesOf(service)) > 0 {
+			begun = time.Since(accepted)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	close(stop)
+	traffic.Wait()
+	return verdict{begun == 0 || begun > lastingRestart+standTime, fmt.Sprintf("a task that lasts began %s after its acceptance (0s: not within 30 s), with 24 of 64 accelerators free", begun.Round(time.Millisecond))}, nil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -26,13 +26,14 @@
 }
 
 var scenarios = map[string]scenario{
-	"service-beside-fillers":  {lahore, playServiceBesideFillers},
-	"replica-preempted":       {lahore, playReplicaPreempted},
-	"pending-after-loss":      {lahore, playPendingAfterLoss},
-	"guarantee-fragmented":    {lahore, playGuaranteeFragmented},
-	"leases-lapse-in-silence": {lahore, playLeasesLapseInSilence},
-	"gang-behind-service":     {lahore, playGangBehindService},
-	"queue-moved":             {lahore, playQueueMoved},
+	"service-beside-fillers":     {lahore, playServiceBesideFillers},
+	"replica-preempted":          {lahore, playReplicaPreempted},
+	"pending-after-loss":         {lahore, playPendingAfterLoss},
+	"guarantee-fragmented":       {lahore, playGuaranteeFragmented},
+	"leases-lapse-in-silence":    {lahore, playLeasesLapseInSilence},
+	"gang-behind-service":        {lahore, playGangBehindService},
+	"service-behind-reservation": {lahore, playServiceBehindReservation},
+	"queue-moved":                {lahore, playQueueMoved},
 }
 
 // lahore holds the bounds of the site chamois-grid.
