--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -506,3 +506,65 @@
 	traffic.Wait()
 	return verdict{begun == 0 || begun > lastingRestart+standTime, fmt.Sprintf("a task that lasts began %s after its acceptance (0s: not within 30 s), with 24 of 64 accelerators free", begun.Round(time.Millisecond))}, nil
 }
+
+// playFillerBesideServices: tasks that serve run on all workers but the one of a task that
+// fills. That worker is emptied and taken away.
+func playFillerBesideServices(d *deployment, trouble bool) (verdict, error) {
+	const workers = 16
+	const filler, service = "5e0000000000000a", "5e0000000000000b"
+	if _, err := d.setUp(workers, lahoreWorker, 0); err != nil {
+		return verdict{}, err
+	}
+	if !d.submit(patientQueue, tenantKey, filler, jobStep{Count: 1, CPU: 4000, Memory: 4096, LongRunning: true, FillCount: true, Image: "survey"}) ||
+		!d.awaitRunning(filler, 1, 5*time.Second) {
+		return verdict{}, errors.New("the task that fills does not run")
+	}
+	if !d.submit(patientQueue, tenantKey, service, jobStep{Count: workers - 1, CPU: 4000, Memory: 4096, LongRunning: true, TargetMs: 200, AntiAffinity: 1, Image: "front"}) ||
+		!d.awaitRunning(service, workers-1, 10*time.Second) {
+		return verdict{}, errors.New("the service does not run")
+	}
+	time.Sleep(2 * time.Second)
+	lastRun := time.Now()
+	if trouble {
+		for _, w := range d.placesOf(filler) {
+			w.leave(drainTime + 500*time.Millisecond)
+		}
+		lastRun = time.Now()
+	}
+	time.Sleep(time.Until(lastRun.Add(lastingRestart + 20*time.Second)))
+	stands := len(d.placesOf(filler)) == 0
+	return verdict{stands, fmt.Sprintf("the task that fills stands 26 s after its last run: %t", stands)}, nil
+}
+
+// playWorkerThenLeader: a worker loses power, and the leader is killed before two renewals
+// have failed.
+func playWorkerThenLeader(d *deployment, trouble bool) (verdict, error) {
+	const workers = 8
+	const service = "5e0000000000000a"
+	if _, err := d.setUp(workers, lahoreWorker, 0); err != nil {
+		return verdict{}, err
+	}
+	if !d.submit(patientQueue, tenantKey, service, jobStep{Count: 1, CPU: 4000, Memory: 4096, LongRunning: true}) || !d.awaitRunning(service, 1, 5*time.Second) {
+		return verdict{}, errors.New("the service does not run")
+	}
+	time.Sleep(3 * time.Second)
+	lastRun := time.Now()
+	if trouble {
+		for _, w := range d.placesOf(service) {
+			w.losePower()
+		}
+		lastRun = time.Now()
+		time.Sleep(2500 * time.Millisecond)
+		leader := d.leader()
+		d.signal(leader, syscall.SIGKILL)
+		time.Sleep(time.Second)
+		if err := d.startProcess(leader); err != nil {
+			return verdict{}, err
+		}
+	}
+	for len(d.placesOf(service)) == 0 && time.Since(lastRun) < 30*time.Second {
+		time.Sleep(20 * time.Millisecond)
+	}
+	stood := time.Since(lastRun)
+	return verdict{trouble && stood > lastingRestart+standTime, fmt.Sprintf("the task ran again %s after its last run", stood.Round(time.Millisecond))}, nil
+}
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -33,6 +33,8 @@
 	"leases-lapse-in-silence":    {lahore, playLeasesLapseInSilence},
 	"gang-behind-service":        {lahore, playGangBehindService},
 	"service-behind-reservation": {lahore, playServiceBehindReservation},
+	"filler-beside-services":     {lahore, playFillerBesideServices},
+	"worker-then-leader":         {lahore, playWorkerThenLeader},
 	"queue-moved":                {lahore, playQueueMoved},
 }
 
--- a/review/standin-2/worker.go
+++ b/review/standin-2/worker.go
@@ -457,3 +457,17 @@
 	}
 	return j.Steps[step], true
 }
+
+// losePower ends a worker without a word: nothing answers at its address any more.
+func (w *worker) losePower() {
+	w.mu.Lock()
+	w.down, w.silent = true, true
+	for _, r := range w.active {
+		w.fleet.note(w, "lost", r.task, r.run)
+	}
+	w.active = make(map[string]*taskRun)
+	w.mu.Unlock()
+	w.stopBeat()
+	w.proxy.silence()
+	w.fleet.record.line("worker %s: loses power", w.id)
+}
