--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -10,6 +10,8 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -41,6 +43,9 @@
 // lahore holds the bounds of the site chamois-grid.
 var lahore = workerBounds{hold: 10 * time.Second, stop: 400 * time.Millisecond, gang: 3 * time.Second}
 
+// longestPlay keeps a case below the 120 seconds that a script may take.
+const longestPlay = 110 * time.Second
+
 // Exit codes.
 const (
 	exitHeld   = 0
@@ -84,7 +89,21 @@
 		return verdict{}, err
 	}
 	defer d.close(logs)
-	v, err := s.play(d, trouble)
+	var v verdict
+	played := make(chan struct{})
+	go func() {
+		v, err = s.play(d, trouble)
+		close(played)
+	}()
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, os.Interrupt, syscall.SIGTERM)
+	select {
+	case <-played:
+	case <-stop:
+		return verdict{}, errors.New("stopped by a signal")
+	case <-time.After(longestPlay):
+		return verdict{}, fmt.Errorf("not played after %s", longestPlay)
+	}
 	rec.line("broken: %t; %s; error: %v", v.broken, v.why, err)
 	return v, err
 }
