sched: a job has begun once a worker has confirmed a start

On the same path a job was told as begun from when its start was planned, though no order had arrived. Cause: the claim that is stored with an urgent job said `begun` ahead of any start, and so did the record that allows a start. The leader took it back after a second of waiting, but only for jobs of its own term that no order had been sent for. TestInheritedJobsThatWaitAreToldAsPending failed in 6 of 7 cases before (all but the loss after 1.05 s), and TestJobsWhoseStartsDoNotArriveAreToldAsPending in 4 of 4. Change: `begun` is recorded when a worker confirms a start, lists the run or its end, within 250 ms and with whatever else is to be recorded by then. `started` marks records that keep to this, so that a later leader knows them from those of earlier versions. Why it works: nothing is told ahead of what it tells, so no loss between the two leaves it wrong; a start that was confirmed and not recorded is found again at its worker by the next leader (TestInheritedJobsThatHaveBegunAreToldAsBegun).

--- a/internal/crankjobs/record.go
+++ b/internal/crankjobs/record.go
@@ -70,7 +70,8 @@
 	Format      int             `json:"format,omitempty"`
 	Term        int64           `json:"term"`                  // of the planner that wrote it
 	Claimed     bool            `json:"claimed,omitempty"`     // tasks may have been started, see MayRun
-	Begun       bool            `json:"begun,omitempty"`       // a start was ordered
+	Begun       bool            `json:"begun,omitempty"`       // a task has started, see HasBegun
+	Started     bool            `json:"started,omitempty"`     // Begun is known from a worker
 	Tracked     bool            `json:"tracked,omitempty"`     // Ordered is complete; else any task may have been started
 	Ordered     TaskSet         `json:"ordered,omitempty"`     // tasks that may have been started, in the form of Done
 	Places      TaskPlaces      `json:"places,omitempty"`      // workers of tasks that may have been started, see Place
@@ -111,6 +112,21 @@
 	return p
 }
 
+// HasBegun reports whether a task has started, as far as the record tells. Earlier versions
+// set Begun before they order the first start, and never Started.
+func (p Progress) HasBegun() bool { return p.Begun || p.IsBegunKnown() }
+
+// IsBegunKnown reports whether the record shows that a task has started.
+func (p Progress) IsBegunKnown() bool {
+	return p.Started || p.Finished > 0 || len(p.Done) > 0 || len(p.Failures) > 0 || len(p.Checkpoints) > 0
+}
+
+// WithStarted returns the progress of a job of which a task has started.
+func (p Progress) WithStarted() Progress {
+	p.Begun, p.Started = true, true
+	return p
+}
+
 // MayRun reports whether a start of a task may have been ordered. It takes the number of
 // tasks in an occurrence.
 func (p Progress) MayRun(ordinal, perOccurrence int) bool {
@@ -270,6 +286,9 @@
 	if p.Outcome != OutcomeNone || recordFormat < formatWithPlaces { // no task of an ended job is started again
 		p.Format, p.Places = formatWithoutPlaces, nil
 	}
+	if p.Outcome != OutcomeNone {
+		p.Started = false // its outcome tells more
+	}
 	if (len(p.Checkpoints)+len(p.Failures))*minEntryBytes <= maxProgressBytes {
 		if r, err := encode(progressPrefix+id, p); err != nil || len(r.Value) <= maxProgressBytes {
 			return r, err
--- a/internal/crankjobs/state.go
+++ b/internal/crankjobs/state.go
@@ -69,7 +69,7 @@
 		return crank.PhaseFailed
 	case j.Progress.Outcome == OutcomeCancelled:
 		return crank.PhaseCancelled
-	case j.Progress.Begun:
+	case j.Progress.HasBegun():
 		return crank.PhaseRunning
 	}
 	return crank.PhaseQueued
@@ -124,7 +124,7 @@
 	n := 0
 	for i := s.jobs.Iterator(); !i.Done(); {
 		_, j, _ := i.Next()
-		if j.Submitted && j.Job.Queue == queue && !j.Progress.Begun && !j.Ended() {
+		if j.Submitted && j.Job.Queue == queue && !j.Progress.HasBegun() && !j.Ended() {
 			n++
 		}
 	}
--- a/internal/cranksched/evidence.go
+++ b/internal/cranksched/evidence.go
@@ -128,7 +128,7 @@
 			s.markAccounted(incarnation)
 		}
 	}
-	s.recordPlaces(now)
+	s.recordDelayed(now)
 	s.moveFromLeaving(now)
 	for _, w := range s.workers {
 		if w.ended {
--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -12,23 +12,23 @@
 
 // job is a job that has not ended or still has runs.
 type job struct {
-	spec           crank.StepJob
-	firstSeen      time.Time // by this planner; after a takeover, when it was accepted
-	progress       crankjobs.Progress
-	claimed        bool // the claim is stored under this term
-	ordered        bool // a start order may have been sent
-	begun          bool // a start was confirmed in this term
-	inherited      bool // an earlier term may have started tasks of it
-	cancelled      bool
-	hasOutcome     bool
-	storedOutcome  crankjobs.Outcome   // in the newest record that is stored
-	refused        bool                // by the store: its progress can't be recorded
-	open           map[int]*occurrence // by number: the due ones that are not done
-	next           int                 // the first occurrence that is neither open nor done
-	remaining      int                 // tasks of all occurrences that are not done
-	placed         int                 // tasks with a placement
-	unrecorded     []*task             // whose place is not in a record yet
-	standingLogged time.Time           // see updateStanding
+	spec            crank.StepJob
+	firstSeen       time.Time // by this planner; after a takeover, when it was accepted
+	progress        crankjobs.Progress
+	claimed         bool // the claim is stored under this term
+	ordered         bool // a start order may have been sent
+	inherited       bool // an earlier term may have started tasks of it
+	cancelled       bool
+	hasOutcome      bool
+	storedOutcome   crankjobs.Outcome   // in the newest record that is stored
+	refused         bool                // by the store: its progress can't be recorded
+	open            map[int]*occurrence // by number: the due ones that are not done
+	next            int                 // the first occurrence that is neither open nor done
+	remaining       int                 // tasks of all occurrences that are not done
+	placed          int                 // tasks with a placement
+	unrecorded      []*task             // whose place is not in a record yet
+	startUnrecorded bool                // nor that a task has started
+	standingLogged  time.Time           // see updateStanding
 
 	stepOffsets     []int // of the first task of each step in an occurrence
 	occurrenceBytes int64 // memory of an open occurrence
@@ -112,6 +112,9 @@
 	if j.progress.Checkpoints == nil {
 		j.progress.Checkpoints = make(map[int]string)
 	}
+	if j.progress.IsBegunKnown() {
+		j.progress = j.progress.WithStarted()
+	}
 	j.countTasks()
 	s.jobs[e.Job.ID] = j
 	if j.firstSeen.After(s.newestJob[j.spec.Pool]) {
@@ -123,7 +126,7 @@
 		s.markDirty(j)
 	}
 	s.Logger.Info("sched: job added", "job", j.spec.ID, "queue", j.spec.Queue, "priority", j.spec.Priority, "tasks", j.spec.TasksPerOccurrence()*j.spec.Occurrences(),
-		"left", j.remaining, "inherited", j.inherited, "age", time.Since(j.firstSeen).Round(time.Millisecond))
+		"left", j.remaining, "inherited", j.inherited, "begun", j.progress.Begun, "started", j.progress.Started, "age", time.Since(j.firstSeen).Round(time.Millisecond))
 }
 
 // countTasks prepares a new job. What its record says of done tasks beside that they are
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -63,7 +63,6 @@
 		}
 		if !t.mayRun {
 			j.progress = j.progress.WithOrdered(t.ordinal, perOccurrence)
-			j.progress.Begun = true
 		}
 		j.progress = j.progress.WithPlace(t.ordinal, perOccurrence, place)
 		j.unrecorded = append(j.unrecorded, t)
@@ -71,32 +70,48 @@
 			s.markDirty(j)
 			continue
 		}
-		if len(s.unplaced) == 0 {
-			s.placesAt = time.Now().Add(placeWriteDelay)
-		}
-		s.unplaced[j] = true
+		s.recordSoon(j)
+	}
+}
+
+// noteStarted records that a task of a job has started, which callers are told.
+func (s *Scheduler) noteStarted(j *job) {
+	if j.progress.Started {
+		return
+	}
+	j.progress, j.startUnrecorded = j.progress.WithStarted(), true
+	if !j.ending() {
+		s.recordSoon(j)
+	}
+}
+
+// recordSoon has the progress of a job written within recordDelay.
+func (s *Scheduler) recordSoon(j *job) {
+	if len(s.delayed) == 0 {
+		s.delayedUntil = time.Now().Add(recordDelay)
 	}
+	s.delayed[j] = true
 }
 
-// recordPlaces has the places written of tasks that were started without a record.
-func (s *Scheduler) recordPlaces(now time.Time) {
-	if len(s.unplaced) == 0 || now.Before(s.placesAt) {
+// recordDelayed has the jobs of recordSoon written that no record has held since.
+func (s *Scheduler) recordDelayed(now time.Time) {
+	if len(s.delayed) == 0 || now.Before(s.delayedUntil) {
 		return
 	}
-	for j := range s.unplaced {
-		if len(j.unrecorded) > 0 && s.jobs[j.spec.ID] == j {
+	for j := range s.delayed {
+		if (len(j.unrecorded) > 0 || j.startUnrecorded) && s.jobs[j.spec.ID] == j {
 			s.markDirty(j)
 		}
 	}
-	clear(s.unplaced)
+	clear(s.delayed)
 }
 
-// revokeStarts has it stored that no task of a job was started, if that is so.
+// revokeStarts has it stored that no task of a job may have been started, if that is so.
 func (s *Scheduler) revokeStarts(j *job) {
 	if j.ordered || j.placed > 0 || j.progress.Tracked {
 		return
 	}
-	j.progress.Begun, j.progress.Tracked = false, true
+	j.progress.Tracked = true
 	for _, o := range j.open {
 		for _, t := range o.tasks {
 			t.mayRun = false
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -122,6 +122,7 @@
 		return
 	}
 	t.lastRun = max(t.lastRun, e.Run)
+	s.noteStarted(j)
 	begun := p.begun()
 	if p != nil {
 		s.release(p, "", v)
@@ -219,10 +220,10 @@
 	if t == nil {
 		return
 	}
-	if !t.job.begun {
-		t.job.begun = true
+	if !t.job.progress.Started {
 		s.priorityScope(t.job.spec.Priority).Timer("accepted_to_begun").Record(time.Since(t.job.firstSeen))
 	}
+	s.noteStarted(t.job)
 }
 
 // adoptRun adds a placement for a run that this planner did not start. It is either a
@@ -252,7 +253,8 @@
 	}
 	p.task, t.placement = t, p
 	j.placed++
-	j.begun, t.held = true, false
+	t.held = false
+	s.noteStarted(j)
 	s.allowStarts([]*task{t}, []*worker{w})
 	s.Logger.Info("sched: run adopted", "task", a.Task, "run", a.Run, "worker", w.entry.ID, "percent", a.Percent)
 	switch {
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -119,7 +119,7 @@
 	stopMargin        = 300 * time.Millisecond  // for the report of the end, before a stop order is repeated
 	handOverTime      = 700 * time.Millisecond  // for orders of gangs at the end of a term; others don't claim it yet
 	gangEndGrace      = 2 * time.Second         // members of a gang that is done report their ends within one renewal
-	placeWriteDelay   = 250 * time.Millisecond  // for places of tasks that were started without
+	recordDelay       = 250 * time.Millisecond  // for places of tasks that were started without, and first starts
 	writeRetry        = 100 * time.Millisecond  // after a failed write
 	unlistedGrace     = 2500 * time.Millisecond // an entry that expired during a store outage is back by then
 	storeAwayTime     = 500 * time.Millisecond  // without an answer to a write; planned runs then give their capacity back,
@@ -189,12 +189,12 @@
 	nextGaugeUpdate time.Time
 	priorities      map[int]bool // seen on jobs, for resetting their gauges to 0
 
-	blindAt  time.Time            // since when planning waits for the job topic to be read, zero while it doesn't
-	unread   map[string]unreadJob // by job ID
-	unplaced map[*job]bool        // tasks were started whose places are to be recorded at placesAt
-	placesAt time.Time
-	clocks   atomic.Pointer[[]*worker] // whose clocks heartbeats carry
-	heldBack bool                      // occurrences are due that memory has no room for
+	blindAt      time.Time            // since when planning waits for the job topic to be read, zero while it doesn't
+	unread       map[string]unreadJob // by job ID
+	delayed      map[*job]bool        // to be recorded at delayedUntil
+	delayedUntil time.Time
+	clocks       atomic.Pointer[[]*worker] // whose clocks heartbeats carry
+	heldBack     bool                      // occurrences are due that memory has no room for
 
 	model        crankestimate.Model // of run times and speeds; knows nothing where planning isn't adaptive
 	expectations expectations
@@ -228,7 +228,7 @@
 
 		priorities: make(map[int]bool),
 		unread:     make(map[string]unreadJob),
-		unplaced:   make(map[*job]bool),
+		delayed:    make(map[*job]bool),
 
 		expectations:  newExpectations(),
 		firstRenewals: crankfleet.NewFirstRenewals(crankfleet.MaxFirstRenewals),
--- a/internal/cranksched/submit.go
+++ b/internal/cranksched/submit.go
@@ -175,8 +175,7 @@
 // newClaim returns the claim that is stored with a job. An urgent job is placed at once,
 // so its claim allows all starts; those of other jobs are stored one by one.
 func newClaim(term int64, spec crank.StepJob) crankjobs.Progress {
-	urgent := spec.Priority == 0
-	return crankjobs.Progress{Term: term, Claimed: true, Begun: urgent, Tracked: !urgent}
+	return crankjobs.Progress{Term: term, Claimed: true, Tracked: spec.Priority != 0}
 }
 
 func submissionRecords(spec crank.StepJob, claim crankjobs.Progress) ([]crank.KeyedRecord, error) {
--- a/internal/cranksched/victim.go
+++ b/internal/cranksched/victim.go
@@ -127,7 +127,7 @@
 		Slack: s.slack(u, late, now), Waited: now.Sub(u.waitingSince), Guaranteed: u.rank == rankGuaranteed, StopTime: s.Bounds.StopTime,
 		Work: expected.Seconds() * q.Step.ReservedCapacity().Times(q.Tasks).Cores(),
 	}
-	if !u.job.begun {
+	if !u.job.progress.Started {
 		c.Waited = now.Sub(u.job.firstSeen) // the guarantee counts from then
 	}
 	if expected == 0 || c.MaxWait() == 0 {
--- a/internal/cranksched/witnessed.go
+++ b/internal/cranksched/witnessed.go
@@ -30,6 +30,7 @@
 			}
 			s.Logger.Info("sched: end witnessed by another instance", "task", t.id, "run", d.Run, "incarnation", e.Incarnation)
 			t.lastRun = max(t.lastRun, d.Run)
+			s.noteStarted(j)
 			s.finishRun(t)
 		}
 	}
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -96,14 +96,15 @@
 	}
 }
 
-// takeUnrecorded returns the places that the next record is the first to hold.
+// takeUnrecorded returns the places that the next record is the first to hold. It also holds
+// that a task has started.
 func (j *job) takeUnrecorded() []recordedPlace {
 	places := make([]recordedPlace, 0, len(j.unrecorded))
 	for _, t := range j.unrecorded {
 		t.recorded, t.placeStored = j.progress.Place(t.ordinal, j.spec.TasksPerOccurrence()), false
 		places = append(places, recordedPlace{t, t.recorded})
 	}
-	j.unrecorded = nil
+	j.unrecorded, j.startUnrecorded = nil, false
 	return places
 }
 
--- a/proofs/crankentryproof/cluster_test.go
+++ b/proofs/crankentryproof/cluster_test.go
@@ -42,8 +42,9 @@
 	key      string // API key of the caller
 	memory   int    // of each instance, MiB; 0 for no limit
 	bounds   crank.LeaseBounds
-	planning crank.Planning // of instances started from now on
-	logs     io.Writer      // of all instances
+	planning crank.Planning             // of instances started from now on
+	logs     io.Writer                  // of all instances
+	metrics  map[string]tally.TestScope // by name of the instances started from now on that have one
 
 	runTime func(id crank.TaskID, worker string) time.Duration // nil for the estimate
 	// descriptors that instances may open, by name; none means not known
@@ -280,11 +281,15 @@
 	caller := fmt.Sprintf("%s#%d", name, c.incarnations)
 	ctx, stop := context.WithCancel(context.Background())
 	inst := &instance{caller: caller, stop: stop, done: make(chan struct{})}
+	scope := tally.NoopScope
+	if s := c.metrics[name]; s != nil {
+		scope = s
+	}
 	inst.Entry = crankentry.New(crankentry.Config{
 		Instance: name, Zone: name, PeerAddr: name, Peers: peerDialer{c, caller}, Leaders: peerDialer{c, caller}, Store: c.store.Client(caller), TopicEnds: c.store.Client(caller), Workers: c.fleet.Dialer(caller),
 		DecodeWorker: crankadapter.DecodeWorker, DecodeOperator: decodeOperator, Bounds: c.bounds, Planning: c.planning, StoreLimits: c.storeLimits, ResultRetention: 2 * time.Minute, ProcessorShare: 0.8, MemoryMiB: c.memory, Descriptors: c.descriptors[name],
 		Uptime: func() time.Duration { return time.Since(c.started) },
-		Logger: slog.New(slowHandler{slog.NewTextHandler(c.logs, nil), c, caller}).With("instance", caller), Scope: tally.NoopScope,
+		Logger: slog.New(slowHandler{slog.NewTextHandler(c.logs, nil), c, caller}).With("instance", caller), Scope: scope,
 	})
 	c.update(func() { c.running[name] = inst })
 	go func() {
