sched: what an earlier version recorded as begun is withdrawn unless a worker knows of it

What callers saw: during a roll-out, urgent jobs that waited when the term passed from an instance of the earlier version to one of this version went on being told as in_progress and not as pending. Change: once all workers of former terms are accounted for, a job that is recorded as begun without `started`, an end, a failure or a checkpoint, and that no worker runs, is recorded as not begun. Why it works: at that time any run of it has been reported; the same evidence lets its tasks start anew.

--- a/internal/cranksched/evidence.go
+++ b/internal/cranksched/evidence.go
@@ -108,6 +108,7 @@
 	delete(s.unaccounted, incarnation)
 	if len(s.unaccounted) == 0 {
 		s.Logger.Info("sched: all workers accounted for", "term", s.Term)
+		s.withdrawBegun()
 	}
 	s.changed = true
 }
--- a/internal/cranksched/takeover.go
+++ b/internal/cranksched/takeover.go
@@ -9,6 +9,18 @@
 	"cranberrycrank/internal/crankjobs"
 )
 
+// withdrawBegun records that jobs have not begun which no worker has started: earlier versions
+// record that a job has begun before they order its first start.
+func (s *Scheduler) withdrawBegun() {
+	for _, j := range s.jobs {
+		if j.progress.Begun && !j.progress.Started && !j.ending() {
+			j.progress.Begun = false
+			s.markDirty(j)
+			s.Logger.Info("sched: job has not begun, against its record", "job", j.spec.ID)
+		}
+	}
+}
+
 // takeOver fences out the planners of earlier terms in the store and loads what they
 // recorded.
 func (s *Scheduler) takeOver(ctx context.Context) bool {
@@ -50,6 +62,9 @@
 	}
 	s.loadEstimates(view.State)
 	s.syncJobs(view.State, true)
+	if len(s.unaccounted) == 0 {
+		s.withdrawBegun()
+	}
 	s.Logger.Info("sched: term taken over", "term", s.Term, "jobs", len(s.jobs), "roster", len(s.roster.addrs), "book-end", view.End, "took", time.Since(begun))
 	return true
 }
--- a/proofs/crankentryproof/pending_test.go
+++ b/proofs/crankentryproof/pending_test.go
@@ -216,3 +216,34 @@
 		})
 	}
 }
+
+// An earlier version recorded that a job had begun before it ordered a start. Under this
+// version such jobs were told as begun for as long as they waited.
+func TestJobsThatAnEarlierVersionRecordedAsBegunAreToldAsPending(t *testing.T) {
+	for _, record := range []string{`{"term":1,"claimed":true,"begun":true}`, `{"term":1,"claimed":true,"begun":true,"tracked":true,"ordered":"AQ=="}`} {
+		t.Run(record, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				c.setUp(2)
+				time.Sleep(settled)
+				running := c.submitMany("urgent", "running", 2)
+				time.Sleep(pendingAge)
+				waiting := c.submitMany("urgent", "waiting", 6)
+				accepted := time.Now()
+				term := c.termNumber()
+				for _, id := range waiting {
+					time.AfterFunc(100*time.Millisecond, func() { c.store.Put(crank.JobTopic, "progress/"+id, []byte(record)) })
+				}
+				for _, id := range running {
+					time.AfterFunc(100*time.Millisecond, func() {
+						c.store.Put(crank.JobTopic, "progress/"+id, []byte(`{"term":1,"claimed":true,"begun":true}`))
+					})
+				}
+				c.kill(c.leader())
+				c.awaitTermAfter(term)
+				time.Sleep(time.Until(accepted.Add(pendingFrom)))
+				c.checkWaiting("urgent", waiting)
+				c.checkBegun("urgent", running, len(waiting))
+			})
+		})
+	}
+}
