sched: inherited urgent jobs that wait are recorded as not started

What callers saw: an urgent job that had waited under two leaders without a start was held up by the third one, for up to a lease, by a worker that was lost with the second leader, though there was room for it elsewhere. Cause: the claim of an urgent job allows all starts. After a second of waiting that is taken back, so that a later leader needs no worker's answer to start it, but not for inherited jobs. Evidence: TestInheritedUrgentJobIsNotHeldUpByASecondLoss failed before: nothing had started 3 s after the third term began. Change: it is taken back for inherited jobs too, once all workers of former terms are accounted for, unless a task has started. Why it works: by then it is known that none runs; the tasks could be started anew by the same evidence.

--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -16,7 +16,7 @@
 	firstSeen       time.Time // by this planner; after a takeover, when it was accepted
 	progress        crankjobs.Progress
 	claimed         bool // the claim is stored under this term
-	ordered         bool // a start order may have been sent
+	ordered         bool // a start order may have been sent in this term
 	inherited       bool // an earlier term may have started tasks of it
 	cancelled       bool
 	hasOutcome      bool
@@ -100,7 +100,6 @@
 	}
 	j := &job{spec: e.Job, firstSeen: time.Now(), progress: e.Progress, inherited: atTakeover && e.Progress.Claimed}
 	j.claimed = e.Progress.Claimed && e.Progress.Term == s.Term
-	j.ordered = j.inherited
 	if age := time.Since(e.Job.Accepted); atTakeover && age > 0 && age < s.Retention {
 		j.firstSeen = j.firstSeen.Add(-age)
 	}
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -106,9 +106,10 @@
 	clear(s.delayed)
 }
 
-// revokeStarts has it stored that no task of a job may have been started, if that is so.
+// revokeStarts has it stored that no task of a job may have been started, if that is so: the
+// next planner then needs no worker's answer to start them.
 func (s *Scheduler) revokeStarts(j *job) {
-	if j.ordered || j.placed > 0 || j.progress.Tracked {
+	if j.progress.Tracked || j.ordered || j.progress.Started || j.placed > 0 || (j.inherited && len(s.unaccounted) > 0) {
 		return
 	}
 	j.progress.Tracked = true
--- a/proofs/crankentryproof/inherited_jobs_test.go
+++ b/proofs/crankentryproof/inherited_jobs_test.go
@@ -300,3 +300,37 @@
 		c.awaitPhase("a", "patient", "job1", crank.PhaseCompleted, 30*time.Second)
 	})
 }
+
+// An urgent job that had waited under two terms without a start was held up by the third one
+// until the lease of a worker was over that was lost with the second leader.
+func TestInheritedUrgentJobIsNotHeldUpByASecondLoss(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		const lossesApart, room = 4 * time.Second, 7 * time.Second // room comes that long after the first loss
+		c.setUp(3)
+		time.Sleep(settled)
+		log := c.recordStarts()
+		lasting := c.submitMany("urgent", "lasting", 2)
+		short := wholeWorker()
+		short.RunTime = room
+		is.NoErr(c.submit(c.notLeader(), "urgent", "short", short))
+		time.Sleep(100 * time.Millisecond)
+		is.NoErr(c.submit(c.notLeader(), "urgent", "waiting", wholeWorker()))
+		lose := func() {
+			term, first := c.termNumber(), c.leader()
+			c.kill(first)
+			c.awaitTermAfter(term)
+			c.start(first)
+		}
+		time.Sleep(100 * time.Millisecond)
+		lose()
+		time.Sleep(lossesApart)
+		for id := range log.started(lasting[0]) {
+			c.losePower(log.worker[id])
+		}
+		lose()
+		is.Equal(len(log.started("waiting")), 0)
+		time.Sleep(queuedStartLimit)
+		is.Equal(len(log.started("waiting")), 1)
+	})
+}
