sched: the gauges of a term are 0 once it is over

What operators saw: an instance that had lost its term and ran on told for good what had waited and run under it (crank_jobs_waiting, crank_jobs_standing, crank_tasks_running, crank_workers_*), beside the figures of the new leader. Cause: gauges keep their last value, and nothing updated them after the term. Evidence: TestLeaderWithoutItsTermTellsNothingOfIt failed before: 3 waiting, 3 standing and 2 running at an instance that had been cut off for a while. Change: the scheduler sets its gauges to 0 at the end of its term.

--- a/internal/cranksched/gauge.go
+++ b/internal/cranksched/gauge.go
@@ -16,6 +16,23 @@
 	return s.Scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
 }
 
+// clearGauges sets the gauges of the term to 0 once it is over: another leader tells them then.
+func (s *Scheduler) clearGauges() {
+	for priority := range s.priorities {
+		s.priorityScope(priority).Gauge("jobs_waiting").Update(0)
+	}
+	for _, why := range standingReasons {
+		s.standingScope(why).Gauge("jobs_standing").Update(0)
+	}
+	names := []string{"tasks_running", "workers_held", "workers_listed", "workers_unaccounted"}
+	if s.Planning.Adaptive {
+		names = append(names, "estimate_classes", "estimate_runs", "estimate_workers")
+	}
+	for _, name := range names {
+		s.Scope.Gauge(name).Update(0)
+	}
+}
+
 func (s *Scheduler) updateGauges(now time.Time) {
 	if now.Before(s.nextGaugeUpdate) {
 		return
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -276,6 +276,7 @@
 		}
 	}
 	s.finishOrders()
+	s.clearGauges()
 }
 
 func (s *Scheduler) drainInbox() {
--- a/internal/cranksched/standing.go
+++ b/internal/cranksched/standing.go
@@ -6,6 +6,8 @@
 	"time"
 
 	crank "cranberrycrank"
+
+	"github.com/uber-go/tally/v4"
 )
 
 // standing is a job with a task that could run and no run at a worker that answers.
@@ -93,6 +95,11 @@
 	return st, true
 }
 
+// standingScope tags metrics with a reason.
+func (s *Scheduler) standingScope(why standingReason) tally.Scope {
+	return s.Scope.Tagged(map[string]string{"why": string(why)})
+}
+
 // storeAway reports whether the store has not answered the last write.
 func (s *Scheduler) storeAway(now time.Time) bool {
 	return now.Before(s.retryAt) || (s.writing && now.Sub(s.writeBegun) > storeAwayTime)
@@ -137,7 +144,7 @@
 		lines = append(lines, st)
 	}
 	for _, why := range standingReasons {
-		s.Scope.Tagged(map[string]string{"why": string(why)}).Gauge("jobs_standing").Update(float64(count[why]))
+		s.standingScope(why).Gauge("jobs_standing").Update(float64(count[why]))
 	}
 	unschedulable := s.countUnschedulable(now)
 	among := slices.Sorted(maps.Keys(s.unaccounted))
--- a/proofs/crankentryproof/metrics_test.go
+++ b/proofs/crankentryproof/metrics_test.go
@@ -17,6 +17,17 @@
 	}
 }
 
+// gauges returns the gauges of an instance that are not 0.
+func (c *cluster) gauges(name string) map[string]float64 {
+	set := make(map[string]float64)
+	for key, g := range c.metrics[name].Snapshot().Gauges() {
+		if g.Value() != 0 {
+			set[key] = g.Value()
+		}
+	}
+	return set
+}
+
 // timed returns how often all instances have recorded a time.
 func (c *cluster) timed(metric string) (n int) {
 	for _, scope := range c.metrics {
@@ -29,6 +40,29 @@
 	return n
 }
 
+// An instance that had lost its term went on telling what waited and ran under it.
+func TestLeaderWithoutItsTermTellsNothingOfIt(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.recordMetrics()
+		c.setUp(2)
+		time.Sleep(settled)
+		c.submitMany("urgent", "running", 2)
+		c.submitMany("urgent", "waiting", 3)
+		time.Sleep(3 * time.Second)
+		former, term := c.leader(), c.termNumber()
+		is.Equal(c.gauges(former)["jobs_waiting+priority=0"], 3.0)
+		c.isolate(former)
+		c.awaitTermAfter(term)
+		c.reconnect()
+		time.Sleep(5 * time.Second)
+		is.True(c.leader() != former)
+		is.Equal(c.gauges(former), map[string]float64{})
+		is.Equal(c.gauges(c.leader())["jobs_waiting+priority=0"], 3.0)
+		is.Equal(c.gauges(c.leader())["tasks_running+"], 2.0)
+	})
+}
+
 // The time until a job began was recorded under each term that started one of its tasks, for
 // later terms with the time until then.
 func TestTimeUntilAJobBeganIsRecordedOnce(t *testing.T) {
