sched: jobs that may run at a worker not accounted for don't count as waiting

What operators saw: after a hand-over crank_jobs_waiting counted running jobs, until their workers had answered the new leader, for a silent one until its lease was over. Cause: a job waited if this leader had no run of it, whatever earlier terms had recorded.

--- a/internal/cranksched/gauge.go
+++ b/internal/cranksched/gauge.go
@@ -1,6 +1,7 @@
 package cranksched
 
 import (
+	"slices"
 	"strconv"
 	"time"
 
@@ -16,6 +17,19 @@
 	return s.Scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
 }
 
+// mayRunUnseen reports whether a task of a job may be running at a worker not accounted for.
+func (s *Scheduler) mayRunUnseen(j *job) bool {
+	if len(s.unaccounted) == 0 {
+		return false
+	}
+	for _, o := range j.open {
+		if slices.ContainsFunc(o.tasks, s.isHeld) {
+			return true
+		}
+	}
+	return false
+}
+
 // clearGauges sets the gauges of the term to 0 once it is over: another leader tells them then.
 func (s *Scheduler) clearGauges() {
 	for priority := range s.priorities {
@@ -45,7 +59,7 @@
 	running := 0
 	for _, j := range s.jobs {
 		running += j.placed
-		if !j.ending() && j.placed == 0 {
+		if !j.ending() && j.placed == 0 && !s.mayRunUnseen(j) {
 			waiting[j.spec.Priority]++
 		}
 	}
--- a/proofs/crankentryproof/metrics_test.go
+++ b/proofs/crankentryproof/metrics_test.go
@@ -1,6 +1,7 @@
 package crankentryproof
 
 import (
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -63,6 +64,29 @@
 	})
 }
 
+// After a hand-over jobs were told as waiting whose tasks ran at workers that had not answered
+// the new leader yet.
+func TestInheritedJobsThatRunAreNotToldAsWaiting(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.recordMetrics()
+		c.setUp(2)
+		time.Sleep(settled)
+		c.submitMany("urgent", "running", 2)
+		time.Sleep(3 * time.Second)
+		term := c.termNumber()
+		c.cutWorker(workerID(0))
+		c.kill(c.leader())
+		c.awaitTermAfter(term)
+		var told []float64
+		for until := time.Now().Add(4 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
+			told = append(told, c.gauges(c.leader())["jobs_waiting+priority=0"])
+		}
+		is.Equal(slices.Max(told), 0.0)
+		c.reconnectWorker(workerID(0))
+	})
+}
+
 // The time until a job began was recorded under each term that started one of its tasks, for
 // later terms with the time until then.
 func TestTimeUntilAJobBeganIsRecordedOnce(t *testing.T) {
