cranksite checks the number of pending jobs, and states of jobs that have not begun

TestShownStates asked for a job that had not started; its job has started now, and TestStateOfAJobThatHasNotBegun has the stricter case.

--- a/standin/crankfakerig/rig.go
+++ b/standin/crankfakerig/rig.go
@@ -132,6 +132,7 @@
 	go r.tick(ctx)
 	var callers sync.WaitGroup
 	callers.Go(func() { r.submitAll(ctx) })
+	go r.askPending(ctx)
 	r.playing.Go(func() { r.play(ctx) })
 	asked := r.begun.Add(r.Site.Bounds.TrafficEnd() + r.Site.Bounds.SettleTime)
 	if err := sleep(ctx, time.Until(asked)); err != nil {
--- a/standin/crankfakesite/site.go
+++ b/standin/crankfakesite/site.go
@@ -34,8 +34,9 @@
 	CancelTime   time.Duration `ini:"cancel-time"`
 	AckTime      time.Duration `ini:"ack-time"` // of a cancellation
 	ConfigTime   time.Duration `ini:"config-time"`
-	DrainTime    time.Duration `ini:"drain-time"` // of a worker that leaves in order
-	GraceTime    time.Duration `ini:"grace-time"` // from SIGTERM to SIGKILL
+	PendingTime  time.Duration `ini:"pending-time"` // from the acceptance of a job, after which it is shown as pending until it begins; 5s by default
+	DrainTime    time.Duration `ini:"drain-time"`   // of a worker that leaves in order
+	GraceTime    time.Duration `ini:"grace-time"`   // from SIGTERM to SIGKILL
 	LongestLease time.Duration `ini:"longest-lease"`
 	StopTime     time.Duration `ini:"stop-time"`
 	GangTimeout  time.Duration `ini:"gang-timeout"`
@@ -132,7 +133,7 @@
 	if err != nil {
 		return Site{}, crank.Wrap(op, crank.KindInvalid, err)
 	}
-	s := Site{Sizes: make(map[string]Size), Bounds: Bounds{GuaranteedShare: 0.5}, Worker: Worker{Kinds: []string{"a"}, Speeds: []float64{1}}}
+	s := Site{Sizes: make(map[string]Size), Bounds: Bounds{GuaranteedShare: 0.5, PendingTime: 5 * time.Second}, Worker: Worker{Kinds: []string{"a"}, Speeds: []float64{1}}}
 	for _, sec := range f.Sections() {
 		kind, name, _ := strings.Cut(sec.Name(), " ")
 		switch kind {
--- a/standin/crankfakewatch/still_test.go
+++ b/standin/crankfakewatch/still_test.go
@@ -222,6 +222,7 @@
 		}
 	}
 	w := newWatch(10)
+	w.event(0, crankfakefleet.EventStarted, 0, "")
 	w.CheckState("a", "in_progress", true)
 	if len(w.Violations()) != 0 {
 		t.Errorf("violations %q; want none", w.Violations())
--- a/standin/crankfakewatch/watch.go
+++ b/standin/crankfakewatch/watch.go
@@ -246,6 +246,8 @@
 		w.violate("job %s is shown as failed without cause", id)
 	case state == "in_progress" && calm && j.isNoted() && time.Since(j.completedAt) > w.Bounds.AckTime:
 		w.violate("job %s is shown as in_progress %v after its last task ended", id, time.Since(j.completedAt).Round(time.Millisecond))
+	case state == "in_progress" && j.runs == 0:
+		w.violate("job %s is shown as in_progress, none of its tasks has started (calm %v)", id, calm)
 	case state == "cancelled":
 		w.violate("job %s is shown as cancelled, nobody cancelled it", id)
 	case state == "unknown" && calm:
