sched: guaranteed work that is in the way of a guarantee is moved

Cause: urgent runs of workspaces within their guarantee are never stopped for others, and nothing moves a run, so that the shape of others' work decides whether a guarantee is there. Change: a guaranteed unit that has waited for 1 s, and for which stopping what may be preempted is not enough, has guaranteed runs stopped that fit elsewhere beside it; both are placed on trial before anything is stopped (crankpack, Relocate). Runs that start up, end soon, are members of a gang or whose step may have no more tasks unavailable stay. Why it works: a move only happens where all of them fit afterwards; the room that is left is what the guarantees of both promise. Steps with a limit of unavailable tasks make way in turn, which takes longer.

--- a/internal/cranksched/victim.go
+++ b/internal/cranksched/victim.go
@@ -10,8 +10,9 @@
 // preemptions caches what is known about preemption during one planning round, in which
 // what can be freed only shrinks.
 type preemptions struct {
-	victims map[victimScope]victimSet // of the standard policy, until work is preempted
-	failed  map[preemptClass]int      // fewest tasks for which too little could be freed
+	victims map[victimScope]victimSet      // of the standard policy, until work is preempted
+	failed  map[preemptClass]int           // fewest tasks for which too little could be freed
+	unmoved map[crankpack.RequestClass]int // fewest tasks of guaranteed units for which no work could be moved
 
 	kept     map[*placement]bool // runs whose ends other units wait for
 	awaiting map[string]bool     // step keys of units that wait instead of preempting
@@ -46,7 +47,7 @@
 }
 
 func newPreemptions() *preemptions {
-	return &preemptions{victims: make(map[victimScope]victimSet), failed: make(map[preemptClass]int), awaiting: make(map[string]bool), kept: make(map[*placement]bool)}
+	return &preemptions{victims: make(map[victimScope]victimSet), failed: make(map[preemptClass]int), unmoved: make(map[crankpack.RequestClass]int), awaiting: make(map[string]bool), kept: make(map[*placement]bool)}
 }
 
 // preempt stops the cheapest work that frees enough for a request, and reports
@@ -63,12 +64,9 @@
 		chosen, runs = s.cheapestVictims(u, pool, q, known)
 	}
 	if chosen == nil {
-		return u.isOverdueLatency(time.Now()) && s.evict(u, pool, q, known)
-	}
-	workers := make(map[string]*crankpack.WorkerCapacity, len(pool.Workers))
-	for _, c := range pool.Workers {
-		workers[c.Worker] = c
+		return (u.isOverdueLatency(time.Now()) && s.evict(u, pool, q, known)) || s.move(u, pool, q, known)
 	}
+	workers := workersByID(pool)
 	pool.ClearUnplaceable()
 	if !s.Planning.Adaptive {
 		clear(known.victims)
@@ -87,6 +85,14 @@
 	return true
 }
 
+func workersByID(pool *crankpack.Pool) map[string]*crankpack.WorkerCapacity {
+	workers := make(map[string]*crankpack.WorkerCapacity, len(pool.Workers))
+	for _, c := range pool.Workers {
+		workers[c.Worker] = c
+	}
+	return workers
+}
+
 // keepRuns has runs, and the gangs that they are of, go on until they end by themselves.
 func (k *preemptions) keepRuns(runs []any) {
 	for _, r := range runs {
