sched: a task at a worker that does not answer counts as unavailable

Cause: a task counted as at work while its run was not released, which at a silent worker takes up to a lease. Change: a task is at work only at a worker whose last renewal was answered.

--- a/internal/cranksched/move.go
+++ b/internal/cranksched/move.go
@@ -84,7 +84,7 @@
 		return false
 	}
 	if p.step.LongRunning {
-		return p.percent >= startedUpPercent
+		return p.isAtWork()
 	}
-	return s.expectedEnd(p).In > worthMove
+	return p.worker.failedRenewals == 0 && s.expectedEnd(p).In > worthMove
 }
--- a/internal/cranksched/victim.go
+++ b/internal/cranksched/victim.go
@@ -263,13 +263,18 @@
 	if !ok {
 		budget = p.step.MaxUnavailable
 		for _, t := range p.task.members() {
-			if t.placement == nil || t.placement.state != stateRunning || t.placement.percent < startedUpPercent {
+			if t.placement == nil || !t.placement.isAtWork() {
 				budget--
 			}
 		}
 	}
 	stoppable[p.stepKey] = budget - 1
-	return budget > 0 && p.percent >= startedUpPercent
+	return budget > 0 && p.isAtWork()
+}
+
+// isAtWork reports whether a long-running task has started up at a worker that answers.
+func (p *placement) isAtWork() bool {
+	return p.state == stateRunning && p.percent >= startedUpPercent && p.worker.failedRenewals == 0
 }
 
 // lossOf returns what stopping a run loses, for a member of a gang with all other members.
