sched: long-running best-effort tasks make way for a task with a latency target

Cause: both are kept on different workers, and only best-effort tasks that end made way. Evidence: TestLatencyStepStartsWhileLongRunningBestEffortTasksAreEverywhere failed before in both cases. Change: long-running ones make way too, of a step with a limit of unavailable tasks within that limit and for one task at a time.

--- a/internal/cranksched/evict.go
+++ b/internal/cranksched/evict.go
@@ -11,7 +11,7 @@
 func (s *Scheduler) evict(u unit, pool *crankpack.Pool, q crankpack.Request, known *preemptions) bool {
 	evictions := make(map[string]crankpack.Eviction)
 	for _, c := range pool.Workers {
-		if e, ok := s.evictionOf(c); ok {
+		if e, ok := s.evictionOf(c, q.Tasks); ok {
 			evictions[c.Worker] = e
 		}
 	}
@@ -36,16 +36,20 @@
 	return true
 }
 
-// evictionOf returns what it takes to stop the best-effort tasks of a worker, and false if
-// it has none or one that can't be stopped now.
-func (s *Scheduler) evictionOf(c *crankpack.WorkerCapacity) (e crankpack.Eviction, ok bool) {
+// evictionOf returns what it takes to stop the best-effort tasks of a worker for a number of
+// tasks, and false if it has none or one that can't be stopped now. Of a step with a limit of
+// unavailable tasks some are stopped only for a single task, which needs one worker.
+func (s *Scheduler) evictionOf(c *crankpack.WorkerCapacity, tasks int) (e crankpack.Eviction, ok bool) {
 	if !c.HasBestEffort || !c.Schedulable {
 		return e, false
 	}
+	stoppable := make(map[string]int)
 	for _, p := range s.workers[c.Worker].placements {
 		switch {
 		case p.step == nil, !p.step.BestEffort, p.state == stateStopping:
-		case p.state != stateRunning || p.step.LongRunning || s.isGuaranteed(p.task.job):
+		case p.state != stateRunning || s.isGuaranteed(p.task.job):
+			return e, false
+		case p.step.LongRunning && p.step.MaxUnavailable > 0 && (tasks > 1 || !p.withinMaxUnavailable(stoppable)):
 			return e, false
 		default:
 			e.Freed, e.Cost = e.Freed.Plus(p.demand), e.Cost+p.cost()
--- a/proofs/crankentryproof/exclusion_test.go
+++ b/proofs/crankentryproof/exclusion_test.go
@@ -29,6 +29,40 @@
 	})
 }
 
+// A step with a latency target waited for good where long-running best-effort tasks ran on each
+// worker. Those that may have one task unavailable make way one at a time.
+func TestLatencyStepStartsWhileLongRunningBestEffortTasksAreEverywhere(t *testing.T) {
+	for _, v := range []struct {
+		name           string
+		maxUnavailable int
+	}{{"any", 0}, {"one_at_a_time", 1}} {
+		t.Run(v.name, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.setUp(4)
+				time.Sleep(settled)
+				log := c.recordStarts()
+				filler := independentTasks(4, time.Hour)
+				filler.LongRunning, filler.BestEffort, filler.MaxPerWorker, filler.MaxUnavailable = true, true, 1, v.maxUnavailable
+				is.NoErr(c.submit("a", "patient", "filler", filler))
+				time.Sleep(5 * time.Second)
+				serving := independentTasks(2, time.Hour)
+				serving.LongRunning, serving.Latency, serving.MaxPerWorker, serving.Demand.Accelerators = true, 50*time.Millisecond, 1, 7
+				is.NoErr(c.submit("a", "patient", "serving", serving))
+				time.Sleep(3 * time.Second)
+				is.True(len(log.started("serving")) >= 1)
+				time.Sleep(3 * time.Second)
+				if v.maxUnavailable == 0 {
+					is.Equal(len(log.started("serving")), 2)
+				}
+				runs := c.fleet.Runs()
+				time.Sleep(20 * time.Second)
+				is.Equal(c.fleet.Runs(), runs) // they don't take turns
+			})
+		})
+	}
+}
+
 // A best-effort task waited for as long as tasks with a latency target ran on each worker.
 func TestBestEffortTaskStartsWhileLatencyTasksAreEverywhere(t *testing.T) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
