sched: a reservation does not hold up overdue long-running tasks where there is room twice over

Cause: in a pool of which more than half is in use, work behind a reservation starts only once no new jobs have come for 2 s. Evidence: TestReservationHoldsUpNoLongRunningTaskWhileJobsCome failed before for an urgent task. Change: an overdue long-running task starts, one in each round, if there is room for it twice over.

--- a/internal/cranksched/reservation.go
+++ b/internal/cranksched/reservation.go
@@ -56,9 +56,9 @@
 
 // placeOnReserved starts work on reserved capacity that ends before the reservations are
 // expected to begin. That time is an estimate and may be far off, so in idle pools long-running
-// tasks that are overdue start there as well, and one task or gang of each job that stands, also
-// where there is room for it twice over. Those wait until no new jobs come, so that a gang is
-// overtaken by a limited number.
+// tasks that are overdue start there as well, and one task or gang of each job that stands, both
+// also where there is room for it twice over. Jobs that stand wait until no new ones come, so that
+// a gang is overtaken by a limited number.
 func (s *Scheduler) placeOnReserved(units []unit, pools map[string]*crankpack.Pool, reservations map[string][]reservation, now time.Time) {
 	if len(reservations) == 0 {
 		return
@@ -73,17 +73,16 @@
 		pool, waited := pools[name], now.Sub(u.waitingSince)
 		idle := pool.InUse() < idleShare
 		ends := !u.step.LongRunning && u.step.RunTime > 0 && u.step.RunTime < wait
-		overdue := idle && u.step.LongRunning && waited > longRunningOverdueTime
+		overdue := u.step.LongRunning && waited > longRunningOverdueTime
 		together := u.tasks[:1]
 		if u.step.Gang {
 			together = u.tasks
 		}
-		stands := u.job.placed == 0 && min(waited, now.Sub(s.newestJob[name])) > reservedStandTime &&
-			(idle || pool.FitsTwice(u.request(together, now)))
+		stands := u.job.placed == 0 && min(waited, now.Sub(s.newestJob[name])) > reservedStandTime
 		switch {
-		case ends, overdue:
+		case ends, overdue && idle:
 			s.placeFree(u, u.tasks, pool, idle, now)
-		case stands:
+		case (overdue || stands) && (idle || pool.FitsTwice(u.request(together, now))):
 			s.placeFree(u, together, pool, true, now)
 		}
 	}
--- a/proofs/crankentryproof/reservation_wait_test.go
+++ b/proofs/crankentryproof/reservation_wait_test.go
@@ -131,3 +131,30 @@
 		is.True(c.fleet.HasStarted("gang"))
 	})
 }
+
+// A long-running task had nothing running in a pool of which more than half was in use, with
+// room for it many times over that a gang had reserved, for as long as small jobs came.
+func TestReservationHoldsUpNoLongRunningTaskWhileJobsCome(t *testing.T) {
+	for _, queue := range []string{"urgent", "patient"} {
+		t.Run(queue, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.key = unguaranteedKey
+				c.setUp(8)
+				time.Sleep(settled)
+				c.submitMany("urgent", "running", 5)
+				time.Sleep(time.Second)
+				is.NoErr(c.submit("a", "urgent", "wide", anyRackGang(4, 8*time.Second)))
+				time.Sleep(5 * time.Second)
+				service := independentTasks(1, time.Hour)
+				service.LongRunning = true
+				is.NoErr(c.submit("a", queue, "service", service))
+				for n := range 6 {
+					is.NoErr(c.submit("a", "patient", fmt.Sprint("small", n), independentTasks(1, time.Second)))
+					time.Sleep(time.Second)
+				}
+				is.True(c.fleet.HasStarted("service"))
+			})
+		})
+	}
+}
