--- a/internal/cranksched/move.go
+++ b/internal/cranksched/move.go
@@ -45,7 +45,8 @@
 			m.Target.Allocate(places[m.Victim.ID])
 			to = m.Target.Worker
 		}
-		s.Logger.Info("sched: work moved", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "to", to, "for", u.job.spec.ID, "waited", time.Since(u.waitingSince))
+		s.Logger.Info("sched: work moved", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "to", to, "for", u.job.spec.ID,
+			"waited", time.Since(u.waitingSince).Round(time.Millisecond))
 		s.Scope.Counter("moves").Inc(1)
 		s.stopRun(p, "makes room for a guarantee")
 	}
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -74,53 +74,6 @@
 	}
 }
 
-// noteStarted records that a task of a job has started, which callers are told.
-func (s *Scheduler) noteStarted(j *job) {
-	if j.progress.Started {
-		return
-	}
-	j.progress, j.startUnrecorded = j.progress.WithStarted(), true
-	if !j.ending() {
-		s.recordSoon(j)
-	}
-}
-
-// recordSoon has the progress of a job written within recordDelay.
-func (s *Scheduler) recordSoon(j *job) {
-	if len(s.delayed) == 0 {
-		s.delayedUntil = time.Now().Add(recordDelay)
-	}
-	s.delayed[j] = true
-}
-
-// recordDelayed has the jobs of recordSoon written that no record has held since.
-func (s *Scheduler) recordDelayed(now time.Time) {
-	if len(s.delayed) == 0 || now.Before(s.delayedUntil) {
-		return
-	}
-	for j := range s.delayed {
-		if (len(j.unrecorded) > 0 || j.startUnrecorded) && s.jobs[j.spec.ID] == j {
-			s.markDirty(j)
-		}
-	}
-	clear(s.delayed)
-}
-
-// revokeStarts has it stored that no task of a job may have been started, if that is so: the
-// next planner then needs no worker's answer to start them.
-func (s *Scheduler) revokeStarts(j *job) {
-	if j.progress.Tracked || j.ordered || j.progress.Started || j.placed > 0 || (j.inherited && len(s.unaccounted) > 0) {
-		return
-	}
-	j.progress.Tracked = true
-	for _, o := range j.open {
-		for _, t := range o.tasks {
-			t.mayRun = false
-		}
-	}
-	s.markDirty(j)
-}
-
 // startAllowed notes the starts that a stored record of a job allows, and sends the
 // orders of those that are planned.
 func (s *Scheduler) startAllowed(j *job, places []recordedPlace) {
--- a/internal/cranksched/takeover.go
+++ b/internal/cranksched/takeover.go
@@ -9,18 +9,6 @@
 	"cranberrycrank/internal/crankjobs"
 )
 
-// withdrawBegun records that jobs have not begun which no worker has started: earlier versions
-// record that a job has begun before they order its first start.
-func (s *Scheduler) withdrawBegun() {
-	for _, j := range s.jobs {
-		if j.progress.Begun && !j.progress.Started && !j.ending() {
-			j.progress.Begun = false
-			s.markDirty(j)
-			s.Logger.Info("sched: job has not begun, against its record", "job", j.spec.ID)
-		}
-	}
-}
-
 // takeOver fences out the planners of earlier terms in the store and loads what they
 // recorded.
 func (s *Scheduler) takeOver(ctx context.Context) bool {
--- a/internal/cranksched/write.go
+++ b/internal/cranksched/write.go
@@ -96,6 +96,27 @@
 	}
 }
 
+// recordSoon has the progress of a job written within recordDelay.
+func (s *Scheduler) recordSoon(j *job) {
+	if len(s.delayed) == 0 {
+		s.delayedUntil = time.Now().Add(recordDelay)
+	}
+	s.delayed[j] = true
+}
+
+// recordDelayed has the jobs of recordSoon written that no record has held since.
+func (s *Scheduler) recordDelayed(now time.Time) {
+	if len(s.delayed) == 0 || now.Before(s.delayedUntil) {
+		return
+	}
+	for j := range s.delayed {
+		if (len(j.unrecorded) > 0 || j.startUnrecorded) && s.jobs[j.spec.ID] == j {
+			s.markDirty(j)
+		}
+	}
+	clear(s.delayed)
+}
+
 // takeUnrecorded returns the places that the next record is the first to hold. It also holds
 // that a task has started.
 func (j *job) takeUnrecorded() []recordedPlace {
