sched: jobs that have not begun follow their queue to another pool

Cause: the pool is written into a job at its acceptance, and nothing looked at the queue again. Evidence: TestJobsThatWaitFollowTheirQueue failed before for an urgent and a patient queue. Change: in each round a job without a start takes the pool of its queue. What has begun stays where it began, under later terms too: the record holds the pool if it is not that of the submission, and a run that a later leader finds at a worker before that is recorded tells it.

--- a/internal/crankjobs/record.go
+++ b/internal/crankjobs/record.go
@@ -73,6 +73,7 @@
 	Begun       bool            `json:"begun,omitempty"`       // a task has started, see HasBegun
 	Started     bool            `json:"started,omitempty"`     // Begun is known from a worker
 	Tracked     bool            `json:"tracked,omitempty"`     // Ordered is complete; else any task may have been started
+	Pool        string          `json:"pool,omitempty"`        // if it is not that of the submission
 	Ordered     TaskSet         `json:"ordered,omitempty"`     // tasks that may have been started, in the form of Done
 	Places      TaskPlaces      `json:"places,omitempty"`      // workers of tasks that may have been started, see Place
 	Finished    int             `json:"finished,omitempty"`    // number of completed occurrences, from the first on
@@ -287,7 +288,7 @@
 		p.Format, p.Places = formatWithoutPlaces, nil
 	}
 	if p.Outcome != OutcomeNone {
-		p.Started = false // its outcome tells more
+		p.Started, p.Pool = false, "" // its outcome tells more
 	}
 	if (len(p.Checkpoints)+len(p.Failures))*minEntryBytes <= maxProgressBytes {
 		if r, err := encode(progressPrefix+id, p); err != nil || len(r.Value) <= maxProgressBytes {
--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -116,9 +116,10 @@
 	}
 	j.countTasks()
 	s.jobs[e.Job.ID] = j
-	if j.firstSeen.After(s.newestJob[j.spec.Pool]) {
-		s.newestJob[j.spec.Pool] = j.firstSeen
+	if j.progress.Pool != "" {
+		j.spec.Pool = j.progress.Pool
 	}
+	s.noteNewest(j)
 	if !j.claimed {
 		j.progress.Tracked = j.progress.Tracked || !j.progress.Claimed
 		j.progress.Claimed = true
@@ -128,6 +129,13 @@
 		"left", j.remaining, "inherited", j.inherited, "begun", j.progress.Begun, "started", j.progress.Started, "age", time.Since(j.firstSeen).Round(time.Millisecond))
 }
 
+// noteNewest notes when the newest job of a pool was first seen.
+func (s *Scheduler) noteNewest(j *job) {
+	if j.firstSeen.After(s.newestJob[j.spec.Pool]) {
+		s.newestJob[j.spec.Pool] = j.firstSeen
+	}
+}
+
 // countTasks prepares a new job. What its record says of done tasks beside that they are
 // done is left out.
 func (j *job) countTasks() {
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -254,6 +254,9 @@
 	p.task, t.placement = t, p
 	j.placed++
 	t.held = false
+	if !j.progress.Started && j.spec.Pool != w.entry.Pool {
+		s.setPool(j, w.entry.Pool)
+	}
 	s.noteStarted(j)
 	s.allowStarts([]*task{t}, []*worker{w})
 	s.Logger.Info("sched: run adopted", "task", a.Task, "run", a.Run, "worker", w.entry.ID, "percent", a.Percent)
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -30,6 +30,7 @@
 	now := time.Now()
 	s.stopEndedJobs(now)
 	operator := s.Operator.View()
+	s.followQueues(operator.Config)
 	pools := s.pools(operator.EvacuatedZones, now)
 	if s.Planning.Adaptive {
 		shapes := s.recentlyRequested(now)
--- a/internal/cranksched/scheduler.go
+++ b/internal/cranksched/scheduler.go
@@ -150,6 +150,8 @@
 	revision          int64 // of the job state, last applied
 	jobs              map[string]*job
 	newestJob         map[string]time.Time // when the newest job of a pool was first seen
+	queuesVersion     int64                // of queuePools
+	queuePools        map[string]string    // by queue, in the configuration in force
 	workers           map[string]*worker   // by worker ID
 	dirty             map[string]*job      // progress to be stored
 	acks              map[*worker]int64    // last ended run to acknowledge after the next write
