sched: a start that its own stop has overtaken is no reason to avoid the worker

Cause: the stop orders of the other members came before their start orders, which the workers then refused as old. Each refusal had the task avoid the worker, so that the gang found no place until that ended. Evidence: the log of a failed run: `start refused` with `refused: old` at two workers whose runs were being stopped, then nothing until the gang had waited for 2 s. Change: such a refusal shows nothing of the worker.

--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -251,7 +251,8 @@
 	s.Logger.Warn("sched: start refused", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "why", why, "clock", reply.ClockMs, "until", p.conclusiveAfter, "error", err)
 	s.Scope.Tagged(map[string]string{"why": why}).Counter("starts_refused").Inc(1)
 	s.recordRefusedStart(p, err)
-	if p.task != nil {
+	stopped := p.state == stateStopping && reply.Refusal == crank.RefusalStaleRun // the stop came before the start
+	if p.task != nil && !stopped {
 		p.task.avoidWorker(p.worker.entry.ID)
 	}
 	s.abandonGang(p, "a gang member's start was refused")
