witness: ends are seen within 100 ms of their listing

What callers saw: a task that had ended at a draining worker 97 ms before it left, while there was no leader, was done again (TestEndsThatOnlyOneWitnessSawCount, KNOWN-RED: three runs instead of two). Cause: while a worker lists ends that nobody has acknowledged, looks don't wait and were 200 ms apart, so that both witnesses could miss an end. The users' rule counts on an end 100 ms after its worker has listed it. Evidence: logs of a failed run: both witnesses stored one end, and none saw the second, between 19.353 s and 19.45 s. Change: looks are 80 ms apart while ends are listed. A record that was not stored is still tried after 200 ms.

--- a/internal/crankwitness/witness.go
+++ b/internal/crankwitness/witness.go
@@ -27,7 +27,8 @@
 	checkPeriod  = 100 * time.Millisecond  // between checks of what is to be stored, while workers are watched
 	lookWait     = 1500 * time.Millisecond // longest wait of one look for an end
 	lookTimeout  = 700 * time.Millisecond  // of one look, beyond its wait
-	lookPause    = 200 * time.Millisecond  // while ends are listed, which a look does not wait for
+	lookPause    = 80 * time.Millisecond   // while ends are listed, which a look does not wait for; callers count on an end 100 ms after it is listed
+	storeRetry   = 200 * time.Millisecond  // after a record that was not stored
 	maxFailures  = 2                       // looks without an answer in a row, before a worker is given up; one if it has never answered
 	storeTimeout = 1 * time.Second         // of one record
 )
@@ -196,7 +197,7 @@
 			_, err := w.Writer.Append(callCtx, record)
 			w.Logger.Info("witness: ends stored", "incarnation", incarnation, "term", watched.fence, "done", len(done), "error", err)
 			if err != nil {
-				crankfeed.Sleep(ctx, lookPause)
+				crankfeed.Sleep(ctx, storeRetry)
 			}
 			w.post(ctx, func() {
 				watched.storing = false
