--- a/proofs/crankentryproof/inherited_jobs_test.go
+++ b/proofs/crankentryproof/inherited_jobs_test.go
@@ -326,7 +326,7 @@
 		lose()
 		time.Sleep(lossesApart)
 		for id := range log.started(lasting[0]) {
-			c.losePower(log.worker[id])
+			c.losePower(log.workerOf(id))
 		}
 		lose()
 		is.Equal(len(log.started("waiting")), 0)
--- a/proofs/crankentryproof/moved_queue_test.go
+++ b/proofs/crankentryproof/moved_queue_test.go
@@ -51,15 +51,15 @@
 				time.Sleep(2 * time.Second)
 				for _, id := range append(waiting, "steps") {
 					is.Equal(len(log.started(id)), 1)
-					is.True(log.worker[crank.TaskID{Job: id}] >= workerID(10))
+					is.True(log.workerOf(crank.TaskID{Job: id}) >= workerID(10))
 				}
 				term := c.termNumber()
 				c.kill(c.leader())
 				c.awaitTermAfter(term)
 				time.Sleep(6 * time.Second) // the first step of the job of two has ended
-				is.True(log.worker[crank.TaskID{Job: "steps", Step: 1}] >= workerID(10))
+				is.True(log.workerOf(crank.TaskID{Job: "steps", Step: 1}) >= workerID(10))
 				for _, id := range begun {
-					is.True(log.worker[crank.TaskID{Job: id}] < workerID(10))
+					is.True(log.workerOf(crank.TaskID{Job: id}) < workerID(10))
 				}
 				is.Equal(c.fleet.Runs(), 6)
 			})
--- a/proofs/crankentryproof/unavailable_test.go
+++ b/proofs/crankentryproof/unavailable_test.go
@@ -40,7 +40,7 @@
 				c.submitMany("urgent", "running", 1)
 				time.Sleep(5 * time.Second)
 				is.Equal(len(log.started("service")), 2)
-				v.lose(c, log.worker[crank.TaskID{Job: "service"}])
+				v.lose(c, log.workerOf(crank.TaskID{Job: "service"}))
 				time.Sleep(5 * time.Second)
 				c.submitMany("urgent", "late", 1)
 				time.Sleep(8 * time.Second)
