sched: a run found at an unlisted worker does not change its job's pool

What callers would have seen: a job stood for good after a hand-over ("no capacity", fit 0) if the new leader found its first run, of which no start was recorded yet, at a worker that was not in the list. Cause: of such a worker the roster has only the address; the job took its empty pool (since jobs follow their queues). TestJobFoundAtAnUnlistedWorkerKeepsItsPool failed in 20 of 20 runs before. Change: only a pool that is known is taken over.

--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -254,8 +254,8 @@
 	p.task, t.placement = t, p
 	j.placed++
 	t.held = false
-	if !j.progress.Started && j.spec.Pool != w.entry.Pool {
-		s.setPool(j, w.entry.Pool)
+	if pool := w.entry.Pool; !j.progress.Started && pool != "" && pool != j.spec.Pool { // that of an unlisted worker is not known
+		s.setPool(j, pool)
 	}
 	s.noteStarted(j)
 	s.allowStarts([]*task{t}, []*worker{w})
--- a/proofs/crankentryproof/moved_queue_test.go
+++ b/proofs/crankentryproof/moved_queue_test.go
@@ -66,3 +66,27 @@
 		})
 	}
 }
+
+// A later leader that found the first run of a job at a worker that was not listed, whose pool is
+// not known, left the rest of the job without one.
+func TestJobFoundAtAnUnlistedWorkerKeepsItsPool(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(2)
+		time.Sleep(settled)
+		log := c.recordStarts()
+		first, second := independentTasks(1, 4*time.Second), independentTasks(1, time.Second)
+		second.After = []int{0}
+		is.NoErr(c.submit(c.notLeader(), "patient", "job1", first, second))
+		worker := ""
+		for limit := time.Now().Add(time.Second); worker == ""; worker = log.workerOf(crank.TaskID{Job: "job1"}) {
+			is.True(time.Now().Before(limit))
+			time.Sleep(time.Millisecond)
+		}
+		time.Sleep(20 * time.Millisecond) // its start is confirmed, not recorded
+		c.update(func() { c.silent[worker] = true })
+		c.removeEntry(worker)
+		c.kill(c.leader())
+		c.awaitPhase(c.notLeader(), "patient", "job1", crank.PhaseCompleted, 15*time.Second)
+	})
+}
