--- a/internal/crankjobs/size.go
+++ b/internal/crankjobs/size.go
@@ -62,8 +62,9 @@
 
 // FittingProgressRecord returns the record of a job's progress. If it exceeds the
 // store's limits, it leaves out what the job can do without: tasks without a place wait for
-// all workers under a later term, tasks without a checkpoint start from the beginning, a job without its pool goes back to the one of its submission, failures count only if attempts are limited, and of an ended
-// job only the outcome matters.
+// all workers under a later term, tasks without a checkpoint start from the beginning, a job without its
+// pool goes back to the one of its submission, failures count only if attempts are limited, and
+// of an ended job only the outcome matters.
 func FittingProgressRecord(j crank.StepJob, p Progress, limits crank.StoreLimits) (crank.KeyedRecord, error) {
 	r, err := ProgressRecord(j.ID, p)
 	if err != nil || limits.Check(r) == nil {
--- a/internal/cranksched/gauge.go
+++ b/internal/cranksched/gauge.go
@@ -1,7 +1,6 @@
 package cranksched
 
 import (
-	"slices"
 	"strconv"
 	"time"
 
@@ -17,19 +16,6 @@
 	return s.Scope.Tagged(map[string]string{"priority": strconv.Itoa(priority)})
 }
 
-// mayRunUnseen reports whether a task of a job may be running at a worker not accounted for.
-func (s *Scheduler) mayRunUnseen(j *job) bool {
-	if len(s.unaccounted) == 0 {
-		return false
-	}
-	for _, o := range j.open {
-		if slices.ContainsFunc(o.tasks, s.isHeld) {
-			return true
-		}
-	}
-	return false
-}
-
 // clearGauges sets the gauges of the term to 0 once it is over: another leader tells them then.
 func (s *Scheduler) clearGauges() {
 	for priority := range s.priorities {
--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -27,7 +27,7 @@
 	remaining       int                 // tasks of all occurrences that are not done
 	placed          int                 // tasks with a placement
 	unrecorded      []*task             // whose place is not in a record yet
-	startUnrecorded bool                // nor that a task has started
+	startUnrecorded bool                // that a task has started is not in a record yet
 	standingLogged  time.Time           // see updateStanding
 
 	stepOffsets     []int // of the first task of each step in an occurrence
--- a/internal/cranksched/unit.go
+++ b/internal/cranksched/unit.go
@@ -240,6 +240,19 @@
 	return unaccounted
 }
 
+// mayRunUnseen reports whether a task of a job may be running at a worker not accounted for.
+func (s *Scheduler) mayRunUnseen(j *job) bool {
+	if len(s.unaccounted) == 0 {
+		return false
+	}
+	for _, o := range j.open {
+		if slices.ContainsFunc(o.tasks, s.isHeld) {
+			return true
+		}
+	}
+	return false
+}
+
 // mayPreempt reports whether other work may be stopped for the unit, see preempt.
 func (u unit) mayPreempt() bool {
 	return u.rank == rankGuaranteed || u.rank == rankUrgent || (u.rank == rankOverdueLongRunning && u.step.Latency > 0)
--- a/internal/crankwitness/witness.go
+++ b/internal/crankwitness/witness.go
@@ -27,7 +27,7 @@
 	checkPeriod  = 100 * time.Millisecond  // between checks of what is to be stored, while workers are watched
 	lookWait     = 1500 * time.Millisecond // longest wait of one look for an end
 	lookTimeout  = 700 * time.Millisecond  // of one look, beyond its wait
-	lookPause    = 80 * time.Millisecond   // while ends are listed, which a look does not wait for; callers count on an end 100 ms after it is listed
+	lookPause    = 80 * time.Millisecond   // while ends are listed, which a look does not wait for
 	storeRetry   = 200 * time.Millisecond  // after a record that was not stored
 	maxFailures  = 2                       // looks without an answer in a row, before a worker is given up; one if it has never answered
 	storeTimeout = 1 * time.Second         // of one record
