proofs: a job that is out of attempts does not stand

Cause: a fault of the check, not of the product. The check knew only jobs that were made to fail and took all others with an open task for standing.

Change: the stand-in keeps which failed runs a caller has got a report of. Only a job of which a task, or a gang, has that many failures counts as over, and each job must now be told as failed exactly if that is so; formerly a job that was failed too early or without cause passed.

--- a/proofs/crankentryproof/stand_play_test.go
+++ b/proofs/crankentryproof/stand_play_test.go
@@ -139,7 +139,9 @@
 		}
 		p.answers.Go(func() {
 			if p.submitJobTo(inst, queue, id, job) == nil && prefix != hopeless {
-				p.update(func() { p.submitted[id] = job })
+				accepted, _ := p.spec(id)
+				accepted.Queue = queue
+				p.update(func() { p.submitted[id] = accepted })
 			}
 		})
 		return
@@ -180,7 +182,20 @@
 	p.answers.Wait()
 	w := newStandWatch(p.cluster, p.submitted)
 	w.watch(watchTime)
-	return w.faults()
+	return append(w.faults(), p.wrongFailures(w)...)
+}
+
+// wrongFailures returns the jobs that are told as failed, or not told so, against what
+// their runs reported.
+func (p *standPlay) wrongFailures(w *standWatch) []string {
+	var faults []string
+	for id, job := range p.submitted {
+		phase, err := p.phase(instanceNames[0], job.Queue, id)
+		if failed := w.hasFailed(job); err != nil || failed != (phase == crank.PhaseFailed) {
+			faults = append(faults, fmt.Sprintf("%s is told as %q (%v), out of attempts: %t", id, phase, err, failed))
+		}
+	}
+	return faults
 }
 
 func drawStandEvent(t *rapid.T) standEvent {
@@ -215,3 +230,26 @@
 		}
 	})
 }
+
+// A job whose task three workers in turn let fail is told as failed, and does not stand.
+func TestJobOutOfAttemptsIsToldAsFailed(t *testing.T) {
+	t.Parallel()
+	at := func(kind string, after time.Duration, worker int, lasts time.Duration, shape, size int) standEvent {
+		return standEvent{event: event{kind: kind, after: after, worker: worker, lasts: lasts, slow: 300 * time.Millisecond, late: 600 * time.Millisecond}, shape: shape, size: size}
+	}
+	events := []standEvent{
+		at("tasks stand still", 0, 0, 4700*time.Millisecond, 0, 0),
+		at("all instances are killed", 1400*time.Millisecond, 0, 200*time.Millisecond, 0, 0),
+		at("job is submitted", 100*time.Millisecond, 0, 0, 0, 11),
+		at("zone is evacuated", 1600*time.Millisecond, 3, 3200*time.Millisecond, 0, 0),
+		at("hopeless jobs come", 1400*time.Millisecond, 0, 0, 0, 0),
+		at("worker fails all", 800*time.Millisecond, 2, 3*time.Second, 0, 0),
+		at("answers of the store are lost", 1800*time.Millisecond, 0, 200*time.Millisecond, 0, 0),
+		at("worker fails all", 1400*time.Millisecond, 4, 1200*time.Millisecond, 0, 0),
+		at("hopeless jobs come", 1100*time.Millisecond, 0, 0, 0, 5),
+		at("worker fails all", 900*time.Millisecond, 0, 3900*time.Millisecond, 0, 0),
+	}
+	if faults := playStands(t, events); len(faults) > 0 {
+		t.Fatal(faults)
+	}
+}
--- a/proofs/crankentryproof/stand_watch_test.go
+++ b/proofs/crankentryproof/stand_watch_test.go
@@ -48,6 +48,9 @@
 func (w *standWatch) sample() {
 	v := w.look()
 	for id, job := range w.jobs {
+		if w.hasFailed(job) {
+			continue
+		}
 		running, able := false, false
 		w.eachDue(job, func(step crank.Step, tasks []crank.TaskID, states []crankfakefleet.TaskState) {
 			var waiting []crank.TaskID
@@ -81,6 +84,25 @@
 	}
 }
 
+// hasFailed reports whether a task, or a gang, has failed as often as its job allows.
+func (w *standWatch) hasFailed(job crank.StepJob) bool {
+	if job.Attempts == 0 {
+		return false
+	}
+	failed := false
+	w.eachDue(job, func(step crank.Step, _ []crank.TaskID, states []crankfakefleet.TaskState) {
+		gang := make(map[int64]bool)
+		for _, s := range states {
+			for _, run := range s.Failed {
+				gang[run] = true
+			}
+			failed = failed || (!step.LongRunning && len(s.Failed) >= job.Attempts)
+		}
+		failed = failed || (step.Gang && len(gang) >= job.Attempts)
+	})
+	return failed
+}
+
 // eachDue calls f for each step of each occurrence whose turn has come.
 func (w *standWatch) eachDue(job crank.StepJob, f func(step crank.Step, tasks []crank.TaskID, states []crankfakefleet.TaskState)) {
 	for k := range job.Occurrences() {
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -55,13 +55,14 @@
 	mu           sync.Mutex
 	workers      map[string]*worker
 	running      map[crank.TaskID]map[*run]bool
-	acknowledged map[crank.TaskID]bool  // its success was acknowledged
-	succeeded    map[crank.TaskID]bool  // acknowledged or not
-	noted        map[crank.TaskID]bool  // acknowledged, also after its worker's lease had expired
-	rerun        map[crank.TaskID]int64 // newest run started after a successful one
-	failures     map[crank.TaskID]int   // acknowledged failed runs
-	runsStarted  map[string]int         // by job
-	lastStart    map[string]time.Time   // of a run, by job
+	acknowledged map[crank.TaskID]bool    // its success was acknowledged
+	succeeded    map[crank.TaskID]bool    // acknowledged or not
+	noted        map[crank.TaskID]bool    // acknowledged, also after its worker's lease had expired
+	rerun        map[crank.TaskID]int64   // newest run started after a successful one
+	failures     map[crank.TaskID]int     // acknowledged failed runs
+	failed       map[crank.TaskID][]int64 // failed runs that a caller has got a report of
+	runsStarted  map[string]int           // by job
+	lastStart    map[string]time.Time     // of a run, by job
 	violations   []string
 }
 
@@ -100,7 +101,7 @@
 	return &Fleet{
 		Config: c, workers: make(map[string]*worker), running: make(map[crank.TaskID]map[*run]bool),
 		acknowledged: make(map[crank.TaskID]bool), noted: make(map[crank.TaskID]bool), succeeded: make(map[crank.TaskID]bool), rerun: make(map[crank.TaskID]int64),
-		runsStarted: make(map[string]int), lastStart: make(map[string]time.Time), failures: make(map[crank.TaskID]int),
+		runsStarted: make(map[string]int), lastStart: make(map[string]time.Time), failures: make(map[crank.TaskID]int), failed: make(map[crank.TaskID][]int64),
 	}
 }
 
