sched: a guaranteed gang has tasks with max_unavailable moved in turn

Cause: work to be stopped was chosen within the step's limit, so one task at most. One stop never frees two workers, and no round kept the first one.

Change: where nothing else makes room for a guaranteed gang that has waited for 1 s, a set is chosen without the limit. As many of its tasks are moved as the limit allows, the gang's workers are reserved, and the next round goes on when the moved tasks are at work again. Batch work in the way is stopped with the last of them. Tasks with a limit are moved only if all have a place elsewhere.

--- a/internal/cranksched/evict.go
+++ b/internal/cranksched/evict.go
@@ -43,13 +43,13 @@
 	if !c.HasBestEffort || !c.Schedulable {
 		return e, false
 	}
-	stoppable := make(map[string]int)
+	budgets := make(stopBudgets)
 	for _, p := range s.workers[c.Worker].placements {
 		switch {
 		case p.step == nil, !p.step.BestEffort, p.state == stateStopping:
 		case p.state != stateRunning || s.isGuaranteed(p.task.job):
 			return e, false
-		case p.step.LongRunning && p.step.MaxUnavailable > 0 && (tasks > 1 || !p.withinMaxUnavailable(stoppable)):
+		case p.hasStopBudget() && (tasks > 1 || !budgets.allows(p)):
 			return e, false
 		default:
 			e.Freed, e.Cost = e.Freed.Plus(p.demand), e.Cost+p.cost()
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -168,7 +168,11 @@
 	if s.placeGangNow(u, pool, q, known, u.mayPreempt() && !waits) {
 		return
 	}
-	if q.Step.SameRack && mayCrossRacks(u, pool, atAnyTrust, waited) && s.placeGangNow(u, pool, q.AcrossRacks(), known, u.rank == rankGuaranteed) {
+	crosses := q.Step.SameRack && mayCrossRacks(u, pool, atAnyTrust, waited)
+	if crosses && s.placeGangNow(u, pool, q.AcrossRacks(), known, u.rank == rankGuaranteed) {
+		return
+	}
+	if s.moveInTurn(u, pool, q, reservations, known, now) || (crosses && s.moveInTurn(u, pool, q.AcrossRacks(), reservations, known, now)) {
 		return
 	}
 	u.reserve(pool, q, reservations, now)
--- a/internal/cranksched/victim.go
+++ b/internal/cranksched/victim.go
@@ -13,6 +13,7 @@
 	victims map[victimScope]victimSet      // of the standard policy, until work is preempted
 	failed  map[preemptClass]int           // fewest tasks for which too little could be freed
 	unmoved map[crankpack.RequestClass]int // fewest tasks of guaranteed units for which no work could be moved
+	blocked map[crankpack.RequestClass]int // the same of guaranteed gangs, for work moved in turn
 
 	kept     map[*placement]bool // runs whose ends other units wait for
 	awaiting map[string]bool     // step keys of units that wait instead of preempting
@@ -47,7 +48,7 @@
 }
 
 func newPreemptions() *preemptions {
-	return &preemptions{victims: make(map[victimScope]victimSet), failed: make(map[preemptClass]int), unmoved: make(map[crankpack.RequestClass]int), awaiting: make(map[string]bool), kept: make(map[*placement]bool)}
+	return &preemptions{victims: make(map[victimScope]victimSet), failed: make(map[preemptClass]int), unmoved: make(map[crankpack.RequestClass]int), blocked: make(map[crankpack.RequestClass]int), awaiting: make(map[string]bool), kept: make(map[*placement]bool)}
 }
 
 // preempt stops the cheapest work that frees enough for a request, and reports
@@ -188,7 +189,7 @@
 	}
 	set, ok := known.victims[scope]
 	if !ok {
-		victims, runs := s.victims(u, scope.includeUrgent, known.kept)
+		victims, runs := s.victims(u, scope.includeUrgent, known.kept, make(stopBudgets))
 		set = victimSet{crankpack.NewVictimIndex(victims), runs}
 		known.victims[scope] = set
 	}
@@ -204,19 +205,18 @@
 	return chosen, set.runs
 }
 
-// victims returns the work that a unit may preempt, and one run of each victim. With
-// includeUrgent, that includes priority 0 work of workspaces beyond their guarantee.
-func (s *Scheduler) victims(u unit, includeUrgent bool, kept map[*placement]bool) ([]crankpack.Victim, []*placement) {
+// victims returns the work that a unit may preempt within the budgets, and one run of each
+// victim. With includeUrgent, that includes priority 0 work of workspaces beyond their guarantee.
+func (s *Scheduler) victims(u unit, includeUrgent bool, kept map[*placement]bool, budgets stopBudgets) ([]crankpack.Victim, []*placement) {
 	var victims []crankpack.Victim
 	var runs []*placement
 	gangs := make(map[string]int)
-	stoppable := make(map[string]int) // long-running tasks that may still be stopped, by step key
 	for _, w := range s.workers {
 		if w.entry.Pool != u.job.spec.Pool {
 			continue
 		}
 		for _, p := range w.placements {
-			if kept[p] || !s.mayPreemptRun(u, p, includeUrgent) || !p.withinMaxUnavailable(stoppable) {
+			if kept[p] || !s.mayPreemptRun(u, p, includeUrgent) || !budgets.allows(p) {
 				continue
 			}
 			part := crankpack.VictimPart{Worker: w.entry.ID, Demand: p.demand}
@@ -253,13 +253,20 @@
 	return spec.Priority > u.job.spec.Priority || (includeUrgent && u.rank == rankGuaranteed && !s.guaranteed[spec.Workspace])
 }
 
-// withinMaxUnavailable reports whether the step's MaxUnavailable allows stopping a
-// run, and counts it as stopped.
-func (p *placement) withinMaxUnavailable(stoppable map[string]int) bool {
-	if !p.step.LongRunning || p.step.MaxUnavailable == 0 {
+// stopBudgets are the long-running tasks that may still be stopped, by step key. A nil map
+// leaves MaxUnavailable out of account.
+type stopBudgets map[string]int
+
+// allows reports whether the step's MaxUnavailable allows stopping a run, and counts it as
+// stopped.
+func (b stopBudgets) allows(p *placement) bool {
+	if !p.hasStopBudget() {
 		return true
 	}
-	budget, ok := stoppable[p.stepKey]
+	if b == nil {
+		return p.isAtWork()
+	}
+	budget, ok := b[p.stepKey]
 	if !ok {
 		budget = p.step.MaxUnavailable
 		for _, t := range p.task.members() {
@@ -268,10 +275,13 @@
 			}
 		}
 	}
-	stoppable[p.stepKey] = budget - 1
+	b[p.stepKey] = budget - 1
 	return budget > 0 && p.isAtWork()
 }
 
+// hasStopBudget reports whether only some tasks of the run's step may be stopped at a time.
+func (p *placement) hasStopBudget() bool { return p.step.LongRunning && p.step.MaxUnavailable > 0 }
+
 // isAtWork reports whether a long-running task has started up at a worker that answers.
 func (p *placement) isAtWork() bool {
 	return p.state == stateRunning && p.percent >= startedUpPercent && p.worker.failedRenewals == 0
--- a/proofs/crankentryproof/guarantee_test.go
+++ b/proofs/crankentryproof/guarantee_test.go
@@ -51,3 +51,51 @@
 		})
 	}
 }
+
+// A gang of whole workers within a guarantee never started while a service, of which one task
+// may be unavailable, had a task on every worker: what was in its way was stopped all at once
+// or not at all.
+func TestGuaranteedGangStartsBehindAServiceWithOneUnavailable(t *testing.T) {
+	for _, v := range []struct {
+		name     string
+		sameRack bool
+	}{{"any_rack", false}, {"same_rack", true}} {
+		t.Run(v.name, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				const workers, wanted = 8, 2
+				c.setUp(workers)
+				time.Sleep(settled)
+				survey := independentTasks(2*workers, 6*time.Second)
+				survey.Demand.MilliCores, survey.Demand.Accelerators = 14000, 2
+				is.NoErr(c.submit("a", "patient", "survey", survey))
+				time.Sleep(time.Second)
+				service := independentTasks(workers, time.Hour)
+				service.LongRunning, service.MaxUnavailable = true, 1
+				is.NoErr(c.submit("a", "patient", "service", service))
+				time.Sleep(10 * time.Second)
+				runs := c.fleet.Runs()
+				is.NoErr(c.submit("a", "urgent", "claim", gangOnRack(v.sameRack, wanted, 8, 2500*time.Millisecond)))
+				away := 0
+				for end := time.Now().Add(4 * reclaimTime); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+					n := 0
+					for i := range workers {
+						if !c.fleet.TaskState(crank.TaskID{Job: "service", Index: i}).Working {
+							n++
+						}
+					}
+					away = max(away, n)
+				}
+				is.True(c.fleet.HasStarted("claim"))
+				is.True(away <= service.MaxUnavailable)
+				is.Equal(c.fleet.Runs()-runs, 2*wanted) // of the gang, and of one task for each of its workers
+			})
+		})
+	}
+}
+
+func gangOnRack(sameRack bool, tasks, accelerators int, runTime time.Duration) crank.Step {
+	gang := gangStep(tasks, accelerators, runTime)
+	gang.SameRack = sameRack
+	return gang
+}
