witness: workers that drain just before or after the loss of the leader are watched

Cause: other instances knew draining workers only from the roster that the leader stores. A worker that began to drain 10 ms before the loss, or after it, is not in it, so nobody looked at it before it left.

--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -134,7 +134,7 @@
 		scheduler.Run(ctx)
 	}})
 	e.witness = crankwitness.New(crankwitness.Config{
-		Instance: c.Instance, Jobs: e.jobs, Term: e.elector.Term, Silent: e.elector.Silent, Workers: c.Workers, Writer: e.writer, Logger: c.Logger,
+		Instance: c.Instance, Jobs: e.jobs, Term: e.elector.Term, Silent: e.elector.Silent, Workers: c.Workers, Writer: e.writer, Store: c.Store, Decode: c.DecodeWorker, Timeline: e.timeline, Logger: c.Logger,
 	})
 	return e
 }
--- a/internal/crankwitness/witness.go
+++ b/internal/crankwitness/witness.go
@@ -41,6 +41,9 @@
 	Silent   func() bool           // whether its holder is silent
 	Workers  crank.LeaseDialer
 	Writer   *crankfeed.Writer // of the job topic
+	Store    crank.Store
+	Decode   crankfleet.Decoder   // of the worker topic
+	Timeline *crankfleet.Timeline // of the worker topic
 	Logger   *slog.Logger
 }
 
@@ -58,6 +61,7 @@
 	fence   int64
 	ends    ends
 	storing bool
+	late    bool // the holder of the term has not recorded that the worker drains
 	failing bool // the last look got no answer; the holder may have got none to its last renewal either
 	stop    context.CancelFunc
 }
@@ -69,6 +73,7 @@
 
 // Run watches workers until the context ends.
 func (w *Witness) Run(ctx context.Context) error {
+	go w.findDrains(ctx)
 	ticker := time.NewTicker(checkPeriod)
 	defer ticker.Stop()
 	for {
@@ -107,7 +112,7 @@
 	}
 	w.rosterSeen, w.term = state.RosterSeen, term.Number
 	for incarnation, watched := range w.watches {
-		if _, ok := state.Roster.LeaseLeft[incarnation]; !ok {
+		if _, ok := state.Roster.LeaseLeft[incarnation]; !ok && !(watched.late && state.Roster.Term == watched.fence) {
 			watched.stop()
 			delete(w.watches, incarnation)
 		}
@@ -116,13 +121,7 @@
 	if state.Roster.Term != term.Number || holder == w.Instance || len(state.Roster.LeaseLeft) == 0 {
 		return
 	}
-	var candidates []string
-	live, _ := state.Instances(time.Now())
-	for _, a := range live {
-		if a.ID != holder {
-			candidates = append(candidates, a.ID)
-		}
-	}
+	candidates := candidatesOf(state, holder)
 	for i, incarnation := range state.Roster.Incarnations {
 		if _, ok := state.Roster.LeaseLeft[incarnation]; !ok || !watches(w.Instance, candidates, incarnation) {
 			continue
@@ -134,6 +133,18 @@
 	}
 }
 
+// candidatesOf returns the instances that may watch workers while an instance holds the term.
+func candidatesOf(s crankjobs.State, holder string) []string {
+	var candidates []string
+	live, _ := s.Instances(time.Now())
+	for _, a := range live {
+		if a.ID != holder {
+			candidates = append(candidates, a.ID)
+		}
+	}
+	return candidates
+}
+
 // watch looks at an incarnation under a term, unless it is watched under that one.
 func (w *Witness) watch(ctx context.Context, incarnation string, e crank.WorkerEntry, fence int64) {
 	watched := &watch{fence: fence}
--- a/proofs/crankentryproof/late_drain_test.go
+++ b/proofs/crankentryproof/late_drain_test.go
@@ -13,6 +13,18 @@
 // a run that ended there before the next term was done again.
 func TestEndAtAWorkerThatDrainsAsTheLeaderIsLostCounts(t *testing.T) {
 	const runTime, drains, ends, leaves = 10 * time.Second, 10 * time.Millisecond, 100 * time.Millisecond, 1200 * time.Millisecond
+	endAtALateDrain(t, runTime, drains, ends, leaves)
+}
+
+// A worker that began to drain while there was no leader was watched by nobody either.
+func TestEndAtAWorkerThatDrainsWithoutALeaderCounts(t *testing.T) {
+	const runTime, drains, ends, leaves = 10 * time.Second, -200 * time.Millisecond, 500 * time.Millisecond, 1200 * time.Millisecond
+	endAtALateDrain(t, runTime, drains, ends, leaves)
+}
+
+// endAtALateDrain loses the leader. The worker of the only run drains before that, its run
+// ends after it and the worker leaves at last.
+func endAtALateDrain(t *testing.T, runTime, drains, ends, leaves time.Duration) {
 	runInCluster(t, func(t *testing.T, c *cluster) {
 		is := is.New(t)
 		c.setUp(8)
