witness: an end at a worker that only the leader can't reach counts

What callers saw: the leader lost touch with a worker that others still reached. A run ended there, and once the worker's lease was over the leader did it again elsewhere; a job that can't be repeated ran twice, and its answer came a lease and a run time late.

Cause: two other instances look at workers that don't answer the leader and see the end, but they stored ends only while the leader was silent, or once the worker stopped answering them too.

Change: an end that stays listed for 0.5 s is stored; a leader that reaches the worker has stored and acknowledged it by then.

--- a/internal/crankwitness/witness.go
+++ b/internal/crankwitness/witness.go
@@ -1,9 +1,10 @@
 // Package crankwitness keeps what runs achieve at a worker that drains while there is no
-// leader. Instances that don't hold the planner's term look at the workers that drain,
-// and store the ends that they list once the holder is silent. The next leader would
-// otherwise know nothing of them if the worker has left before it asks. They also store the
-// last ends of a worker that stops answering, since the answer to the holder may have been
-// cut off when the worker left.
+// leader, or that the leader can't reach. Instances that don't hold the planner's term look at
+// the workers that drain or don't answer the holder, and store the ends that they list once the
+// holder is silent. The next leader would otherwise know nothing of them if the worker has left
+// before it asks. They also store ends that nobody acknowledges in time, and the last ends of a
+// worker that stops answering, since the answer to the holder may have been cut off when the
+// worker left.
 //
 // A look carries the fencing token of the term in whose roster the worker drains. It
 // acknowledges no end and does not extend the lease, and a worker that has seen a later
@@ -29,6 +30,7 @@
 	lookTimeout  = 700 * time.Millisecond  // of one look, beyond its wait
 	lookPause    = 80 * time.Millisecond   // while ends are listed, which a look does not wait for
 	storeRetry   = 200 * time.Millisecond  // after a record that was not stored
+	ackTime      = 500 * time.Millisecond  // in which a holder that reaches the worker stores and acknowledges an end
 	maxFailures  = 2                       // looks without an answer in a row, before a worker is given up; one if it has never answered
 	storeTimeout = 1 * time.Second         // of one record
 )
@@ -60,6 +62,7 @@
 type watch struct {
 	fence   int64
 	ends    ends
+	since   time.Time // when ends were first listed that are not stored; zero if none are
 	storing bool
 	late    bool // the holder of the term has not recorded that the worker drains
 	failing bool // the last look got no answer; the holder may have got none to its last renewal either
@@ -170,7 +173,7 @@
 		switch kind := crank.KindOf(err); {
 		case err == nil:
 			failures = 0
-			w.post(ctx, func() { watched.ends, watched.failing = watched.ends.WithReport(r), false })
+			w.post(ctx, func() { watched.noteReport(r) })
 		case kind == crank.KindFenced || kind == crank.KindNotFound || kind == crank.KindConflict:
 			return
 		default:
@@ -183,16 +186,33 @@
 	}
 }
 
+// noteReport takes note of an answer to a look.
+func (w *watch) noteReport(r crank.RenewReport) {
+	w.ends, w.failing = w.ends.WithReport(r), false
+	switch {
+	case !w.ends.Unstored():
+		w.since = time.Time{}
+	case w.since.IsZero():
+		w.since = time.Now()
+	}
+}
+
+// isOverlooked reports whether the holder of the term, which is not silent, does not take note
+// of ends: it can't reach the worker, or could not at last.
+func (w *watch) isOverlooked() bool {
+	return w.failing || (!w.since.IsZero() && time.Since(w.since) >= ackTime)
+}
+
 // store stores the ends that no leader takes note of: those listed while the holder of
-// the term is silent or has just been followed by another, and those that a worker listed,
-// and nobody had acknowledged, right before it left.
+// the term is silent or has just been followed by another, those that stay listed, and those
+// that a worker listed, and nobody had acknowledged, right before it left.
 func (w *Witness) store(ctx context.Context) {
 	if len(w.watches) == 0 {
 		return
 	}
 	silent, term := w.Silent(), w.Term().Number
 	for incarnation, watched := range w.watches {
-		if watched.storing || !watched.ends.Unstored() || !(silent || term != watched.fence || watched.failing) {
+		if watched.storing || !watched.ends.Unstored() || !(silent || term != watched.fence || watched.isOverlooked()) {
 			continue
 		}
 		done := watched.ends.listed
@@ -213,7 +233,7 @@
 			w.post(ctx, func() {
 				watched.storing = false
 				if err == nil {
-					watched.ends = watched.ends.WithStored(done)
+					watched.ends, watched.since = watched.ends.WithStored(done), time.Time{}
 				}
 			})
 		}()
