sched: the only worker with a required label is not quarantined

Cause: a worker is quarantined when two jobs fail there in a row, as long as three of four with each of its labels stay in use, but one always was allowed, also of one. Long-running tasks never succeed, so nothing clears the count.

Change: the only worker of a pool, or with a label that a step of a job requires, is not quarantined.

--- a/internal/cranksched/health.go
+++ b/internal/cranksched/health.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	crank "cranberrycrank"
@@ -226,7 +227,8 @@
 }
 
 // mayQuarantine reports whether enough workers stay in use beside those in quarantine, of
-// the pool and of those that share a label with the worker.
+// the pool and of those that share a label with the worker. The only one of the pool, or with a
+// label that work requires, is never quarantined.
 func (s *Scheduler) mayQuarantine(w *worker) bool {
 	const anyLabel = ""
 	all, quarantined, now := make(map[string]int), make(map[string]int), time.Now()
@@ -242,6 +244,9 @@
 		}
 	}
 	for _, label := range append([]string{anyLabel}, w.entry.Labels...) {
+		if all[label] == 1 && (label == anyLabel || s.isRequired(label, w.entry.Pool)) {
+			return false
+		}
 		if quarantined[label] >= max(1, all[label]/maxQuarantineShare) {
 			return false
 		}
@@ -249,6 +254,16 @@
 	return true
 }
 
+// isRequired reports whether a step of a job on a pool requires a label.
+func (s *Scheduler) isRequired(label, pool string) bool {
+	for _, j := range s.jobs {
+		if j.spec.Pool == pool && !j.ending() && slices.ContainsFunc(j.spec.Steps, func(st crank.Step) bool { return st.Label == label }) {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) quarantine(w *worker, why string, count int) {
 	w.quarantinedUntil = time.Now().Add(quarantineTime)
 	s.Logger.Warn("sched: worker quarantined", "worker", w.entry.ID, "why", why, "count", count, "for", quarantineTime)
--- a/proofs/crankentryproof/quarantine_test.go
+++ b/proofs/crankentryproof/quarantine_test.go
@@ -139,3 +139,33 @@
 		c.awaitPhase("a", "patient", "gang", crank.PhaseCompleted, 1500*time.Millisecond+time.Second)
 	})
 }
+
+// Two services that fail in turn kept the only worker with their label in quarantine, and
+// neither ran for longer than a long-running task may wait.
+func TestOnlyWorkerWithALabelIsNotQuarantined(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(5) // the last one is alone on its rack
+		time.Sleep(settled)
+		c.fleet.UpdateConfig(func(f *crankfakefleet.Config) {
+			f.RunTime = func(crank.TaskID, string) time.Duration { return 1500 * time.Millisecond }
+			f.Fails = func(crank.TaskID, int64, string) bool { return true }
+		})
+		services := []string{"service1", "service2"}
+		for _, id := range services {
+			st := independentTasks(1, time.Hour)
+			st.LongRunning, st.Label = true, "r1"
+			is.NoErr(c.submit("a", "patient", id, st))
+		}
+		ran, longest := make(map[string]time.Time), time.Duration(0)
+		for end := time.Now().Add(time.Minute); time.Now().Before(end); time.Sleep(samplePeriod) {
+			for _, id := range services {
+				if ran[id].IsZero() || c.fleet.TaskState(crank.TaskID{Job: id}).Worker != "" {
+					ran[id] = time.Now()
+				}
+				longest = max(longest, time.Since(ran[id]))
+			}
+		}
+		is.True(longest < lastingWithin)
+	})
+}
