sched: run numbers beyond those of a term are recorded

Cause: a term has 1,000 run numbers for a task. Failed runs of long-running tasks are not recorded, so the next leader began with the first number of its term, which the worker refuses as old, and went up by one in 2 s.

A record that does not fit leaves these numbers out.

--- a/internal/crankjobs/size.go
+++ b/internal/crankjobs/size.go
@@ -1,6 +1,7 @@
 package crankjobs
 
 import (
+	"maps"
 	"math"
 	"strconv"
 
@@ -71,11 +72,28 @@
 		return r, err
 	}
 	p.Places, p.Checkpoints, p.Pool = nil, nil, ""
-	if j.Attempts == 0 {
-		p.Failures = nil
-	}
+	p.Failures = limitedFailures(j, p.Failures)
 	if p.Outcome != OutcomeNone {
 		p.Failures, p.Done, p.Ordered = nil, nil, nil
 	}
 	return ProgressRecord(j.ID, p)
 }
+
+// limitedFailures returns the failed runs of tasks whose attempts are limited.
+func limitedFailures(j crank.StepJob, failures map[int][]int64) map[int][]int64 {
+	if j.Attempts == 0 {
+		return nil
+	}
+	limited := maps.Clone(failures)
+	maps.DeleteFunc(limited, func(ordinal int, _ []int64) bool {
+		n := ordinal % j.TasksPerOccurrence()
+		for _, s := range j.Steps {
+			if n < s.Tasks {
+				return s.LongRunning
+			}
+			n -= s.Tasks
+		}
+		return false
+	})
+	return limited
+}
--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -236,12 +236,16 @@
 }
 
 // countFailedRun counts a failed run once, and fails the job when the task has used
-// up its attempts.
+// up its attempts. Of a long-running task, which has no limit, it notes a run whose number is
+// beyond those of the term, for the next term to go on from.
 func (s *Scheduler) countFailedRun(t *task, run int64) {
 	runs, limit := t.job.progress.Failures[t.ordinal], t.job.spec.Attempts
-	if t.done || t.step.LongRunning || slices.Contains(runs, run) {
+	if t.done || slices.Contains(runs, run) || (t.step.LongRunning && run < s.Term*runsPerTerm) {
 		return
 	}
+	if t.step.LongRunning {
+		limit = 0
+	}
 	if limit == 0 {
 		runs = nil // only the newest number matters
 	}
