stall: the limit of a task that stalls again and again grows

Cause: workers report whole percents. A run without progress for 2.5 s, or 1 s if urgent and planning adaptive, is taken to stand still, and each run of such a task shows none for longer.

Change: from the second stall of a task or its gang on, the limits double with each, up to 64 times. A task at a worker where all stands still is stopped as soon as before.

--- a/internal/cranksched/job.go
+++ b/internal/cranksched/job.go
@@ -51,6 +51,7 @@
 	lastRun      int64           // highest known number
 	checkpoint   string          // newest, or empty
 	avoided      map[string]bool // workers where it failed, stalled or was refused
+	stalls       int             // runs that were stopped for lack of progress
 	waitingSince time.Time       // end of its last placement, or when its turn came, as far as this planner knows
 
 	declinedAt time.Time // when it first declined room at workers that are not trusted enough, before waitingSince if it did not
--- a/internal/cranksched/stall.go
+++ b/internal/cranksched/stall.go
@@ -30,14 +30,26 @@
 	}
 	s.Logger.Warn("sched: run stalled", "task", p.id, "run", p.run, "worker", p.worker.entry.ID, "percent", p.percent, "since", now.Sub(p.progressedAt))
 	p.task.avoidWorker(p.worker.entry.ID)
+	p.task.countStall()
 	s.stopRun(p, "no progress")
 }
 
+// countStall takes note that a run of the task, or its gang, stood still.
+func (t *task) countStall() {
+	if !t.step.Gang {
+		t.stalls++
+		return
+	}
+	for _, m := range t.members() {
+		m.stalls++
+	}
+}
+
 // stallRun returns what is known of a run's progress.
 func (s *Scheduler) stallRun(p *placement, report crankfleet.RenewResult) crankstall.Run {
 	r := crankstall.Run{
 		Urgent: p.task.job.spec.Priority == 0, Expected: s.expectedLongest(p), Waited: report.Received.Sub(p.lastProgress()),
-		Still: report.Sent.Sub(p.progressedAt), GangStill: report.Sent.Sub(p.lastProgress()),
+		Still: report.Sent.Sub(p.progressedAt), GangStill: report.Sent.Sub(p.lastProgress()), Stalls: p.task.stalls,
 	}
 	if !p.step.Gang {
 		return r
--- a/internal/crankstall/run.go
+++ b/internal/crankstall/run.go
@@ -13,6 +13,7 @@
 	Still      time.Duration // certainly without progress of this run: from the last report with progress to the sending of the request for the newest one, which may show the state at that time
 	GangStill  time.Duration // likewise for all members of its gang; Still for other runs
 	PeersAhead float64       // percent by which a member of its gang that has progressed since is ahead, at most
+	Stalls     int           // earlier runs of the task, or its gang, that were taken to stand still
 }
 
 const (
@@ -22,12 +23,21 @@
 	memberLimit   = 1500 * time.Millisecond // likewise for a gang member while others move
 	resolution    = 0.01                    // workers report whole percents
 	mostStretched = 30                      // a straggler without its data takes 20 times its expected time; slow workers add to that
-	peersAhead    = 10                      // percent by which others are ahead of a member that stands still; the work of members differs
+	usualStalls   = 1                       // at workers where tasks stand still; a task that stalls more often makes slow progress
+	mostDoublings = 6
+	peersAhead    = 10 // percent by which others are ahead of a member that stands still; the work of members differs
 )
 
-// Limit returns how long a run may make no progress.
+// Limit returns how long a run may make no progress. It doubles with each stall of a task beyond
+// usualStalls, since workers report whole percents: a task that takes many times what is expected
+// shows none for longer than any limit.
 func (r Run) Limit() time.Duration {
-	return max(limit, time.Duration(limitShare*float64(r.Expected)))
+	return r.patience() * max(limit, time.Duration(limitShare*float64(r.Expected)))
+}
+
+// patience returns the factor by which limits are longer than usual.
+func (r Run) patience() time.Duration {
+	return 1 << min(max(0, r.Stalls-usualStalls), mostDoublings)
 }
 
 // Stalled reports whether a run stands still.
@@ -43,8 +53,8 @@
 	switch {
 	case r.Stalled():
 		return true
-	case r.PeersAhead >= peersAhead && r.Still >= min(max(memberLimit, oneStep), r.Limit()):
+	case r.PeersAhead >= peersAhead && r.Still >= min(r.patience()*max(memberLimit, oneStep), r.Limit()):
 		return true
 	}
-	return r.Urgent && r.GangStill >= min(max(urgentLimit, oneStep), r.Limit())
+	return r.Urgent && r.GangStill >= min(r.patience()*max(urgentLimit, oneStep), r.Limit())
 }
--- a/internal/crankstall/run_test.go
+++ b/internal/crankstall/run_test.go
@@ -26,6 +26,12 @@
 		{"member is left behind", Run{Expected: 4 * time.Second, Still: 1500 * ms, GangStill: 100 * ms, PeersAhead: 25}, false, true},
 		{"member of a gang that moves slowly", Run{Expected: 11 * time.Second, Still: 1500 * ms, GangStill: 100 * ms, PeersAhead: 12}, false, false},
 		{"member whose peers hardly move", Run{Expected: 4 * time.Second, Still: 2400 * ms, GangStill: 100 * ms, PeersAhead: 3}, false, false},
+		{"patient run stands after a stall", Run{Expected: 2500 * ms, Still: 2500 * ms, GangStill: 2500 * ms, Waited: 2500 * ms, Stalls: 1}, true, true},
+		{"patient run after two stalls", Run{Expected: 2500 * ms, Still: 4900 * ms, GangStill: 4900 * ms, Waited: 4900 * ms, Stalls: 2}, false, false},
+		{"patient run stands after two stalls", Run{Expected: 2500 * ms, Still: 5000 * ms, GangStill: 5000 * ms, Waited: 5000 * ms, Stalls: 2}, true, true},
+		{"urgent run after two stalls", Run{Urgent: true, Expected: 2500 * ms, Still: 1900 * ms, GangStill: 1900 * ms, Waited: 1900 * ms, Stalls: 2}, false, false},
+		{"urgent run stands after two stalls", Run{Urgent: true, Expected: 2500 * ms, Still: 2000 * ms, GangStill: 2000 * ms, Waited: 2000 * ms, Stalls: 2}, false, true},
+		{"run stands after many stalls", Run{Expected: 2500 * ms, Still: 160 * time.Second, GangStill: 160 * time.Second, Waited: 160 * time.Second, Stalls: 90}, true, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"slices"
 	"time"
 
@@ -308,7 +309,7 @@
 		if run.working && run.step.LongRunning {
 			a.Percent = 100
 		} else if run.working && (w.fleet.Stuck == nil || !w.fleet.Stuck(w.entry.ID)) {
-			a.Percent = min(100, 100*float64(time.Since(run.startedAt))/float64(run.duration))
+			a.Percent = math.Floor(min(100, 100*float64(time.Since(run.startedAt))/float64(run.duration)))
 		}
 		r.Active = append(r.Active, a)
 	}
