sched: best-effort tasks run beside tasks with a latency target that have room

Cause: the two were never placed together, since nothing watched the response times.

Change: a best-effort task that has waited for 1.5 s without room elsewhere is started beside tasks whose reported response times are at most 70 % of their targets, one at a time. The worker then reports every 0.5 s. After two reports in a row over a target, the best-effort tasks there are stopped and the worker takes none for 30 s, twice as long each time.

Test changed: TestLatencyStepStartsWhileLongRunningBestEffortTasksAreEverywhere asks for both latency tasks in both forms, formerly only without `max_unavailable`, and for all best-effort tasks at work at the end; it counts runs from 3 s later on, since the second latency task now starts after the first evicted task is at work again.

--- a/internal/crankpack/capacity.go
+++ b/internal/crankpack/capacity.go
@@ -23,6 +23,7 @@
 	HasLatencyTask bool           // runs a task with a latency target
 	HasBestEffort  bool           // runs a best-effort task
 	BestEffortEnds bool           // all of these are being stopped
+	TakesShared    bool           // one best-effort task may be placed beside tasks with a latency target
 	TasksByStep    map[string]int // by Request.StepKey
 	Speed          float64        // 1 is usual, 2 takes half the time, 0 is not known
 	FailureCount   int            // recent failures; workers with fewer are preferred
@@ -71,7 +72,7 @@
 // resource demand.
 func (w *WorkerCapacity) admits(q Request, k CapacityKind) bool {
 	hasBestEffort := w.HasBestEffort && (k == FreeCapacity || !w.BestEffortEnds)
-	if k != TotalCapacity && (!w.Schedulable || (q.Step.Latency > 0 && hasBestEffort) || (q.Step.BestEffort && w.HasLatencyTask)) {
+	if k != TotalCapacity && (!w.Schedulable || (q.Step.Latency > 0 && hasBestEffort) || (q.Step.BestEffort && w.HasLatencyTask && !(q.MayShare && w.TakesShared))) {
 		return false
 	}
 	if q.Step.Label != "" && !slices.Contains(w.Labels, q.Step.Label) {
@@ -96,6 +97,9 @@
 		}
 		limit = min(limit, m-held)
 	}
+	if q.Step.BestEffort && w.HasLatencyTask {
+		limit = min(limit, 1)
+	}
 	have, need := w.available(k).Plus(freed), q.Step.ReservedCapacity()
 	n := 0
 	for n < limit && have.Covers(need) {
@@ -121,6 +125,7 @@
 	w.HasLatencyTask = w.HasLatencyTask || q.Step.Latency > 0
 	w.HasBestEffort = w.HasBestEffort || q.Step.BestEffort
 	w.BestEffortEnds = w.BestEffortEnds && !q.Step.BestEffort
+	w.TakesShared = w.TakesShared && !q.Step.BestEffort && q.Step.Latency == 0
 }
 
 // AddEnd adds the expected end of a run.
--- a/internal/crankpack/pack_test.go
+++ b/internal/crankpack/pack_test.go
@@ -124,6 +124,27 @@
 	is.Equal(pool.Place(bestEffort, FreeCapacity), nil)
 }
 
+// Several best-effort tasks were placed at once beside a task with a latency target.
+func TestWorkerWithALatencyTaskTakesOneBestEffortTask(t *testing.T) {
+	is := is.New(t)
+	total := crank.Demand{MilliCores: 8000, MemoryMiB: 8192}
+	var workers []*WorkerCapacity
+	for _, id := range []string{"a", "b"} {
+		workers = append(workers, &WorkerCapacity{Worker: id, Total: total, Free: total, Future: total, Schedulable: true, HasLatencyTask: true, TakesShared: id == "b"})
+	}
+	pool := NewPool(workers)
+	q := Request{StepKey: "f", Tasks: 1, Step: crank.Step{Demand: crank.Demand{MilliCores: 1000}, BestEffort: true}}
+	is.Equal(pool.Place(q, FreeCapacity), nil)
+	q.MayShare = true
+	two := q
+	two.Tasks = 2
+	is.Equal(pool.Place(two, FreeCapacity), nil)
+	chosen := pool.Place(q, FreeCapacity)
+	is.Equal(chosen, workers[1:])
+	chosen[0].Allocate(q)
+	is.Equal(pool.Place(q, FreeCapacity), nil)
+}
+
 // Tasks that need whole workers took one on each rack.
 func TestTasksLeaveWholeRacksFree(t *testing.T) {
 	is := is.New(t)
--- a/internal/crankpack/pool.go
+++ b/internal/crankpack/pool.go
@@ -22,6 +22,9 @@
 	Speed   SpeedPreference          // used after Pool.Weigh only
 	// LeastTrust is the least WorkerCapacity.Trust of workers that may be chosen.
 	LeastTrust int
+	// MayShare has a best-effort request use workers that take one beside tasks with a latency
+	// target, see WorkerCapacity.TakesShared.
+	MayShare bool
 	// TrustOrder goes before the best fit: workers with more trust are preferred if it is
 	// positive, those with less if it is negative.
 	TrustOrder int
@@ -45,6 +48,7 @@
 	label      string
 	latency    bool
 	bestEffort bool
+	mayShare   bool
 	leastTrust int
 	kind       CapacityKind
 }
@@ -65,7 +69,7 @@
 // class, because Avoid or MaxPerWorker make workers differ.
 func classOf(q Request, k CapacityKind) (equivalenceClass, bool) {
 	cacheable := q.Avoid == nil && q.Step.MaxPerWorker == 0
-	return equivalenceClass{q.Step.ReservedCapacity(), q.Tasks, q.Step.SameRack, q.Step.Label, q.Step.Latency > 0, q.Step.BestEffort, q.LeastTrust, k}, cacheable
+	return equivalenceClass{q.Step.ReservedCapacity(), q.Tasks, q.Step.SameRack, q.Step.Label, q.Step.Latency > 0, q.Step.BestEffort, q.MayShare, q.LeastTrust, k}, cacheable
 }
 
 // ClearUnplaceable discards cached failures. It must be called after a worker's
--- a/internal/cranksched/order.go
+++ b/internal/cranksched/order.go
@@ -34,7 +34,7 @@
 		t.lastRun, t.placement, t.held = run, p, false
 		t.job.placed++
 		w.placements[t.id] = p
-		if s.Planning.Adaptive && t.job.spec.Priority == 0 {
+		if (s.Planning.Adaptive && t.job.spec.Priority == 0) || w.isShared() {
 			w.watched.Store(true)
 		}
 	}
--- a/internal/cranksched/report.go
+++ b/internal/cranksched/report.go
@@ -54,7 +54,8 @@
 	if len(r.Ended) > 0 {
 		s.acks[w] = w.lastEnd
 	}
-	w.watched.Store(s.Planning.Adaptive && w.needsWatch())
+	s.protectLatency(w, r)
+	w.watched.Store((s.Planning.Adaptive && w.needsWatch()) || w.isShared())
 }
 
 // checkReadable stops extending the lease of a worker whose reports have rows that can't
@@ -196,6 +197,7 @@
 	if p.state == stateOrdered {
 		s.confirmStart(p, r.ClockMs)
 	}
+	p.noteLoad(a.Load)
 	if p.task != nil && a.Checkpoint != "" && a.Checkpoint != p.task.checkpoint {
 		p.task.checkpoint = a.Checkpoint
 		if p.step.Gang {
--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -134,6 +134,7 @@
 		c.HasLatencyTask = c.HasLatencyTask || p.step.Latency > 0
 		c.HasBestEffort = c.HasBestEffort || p.step.BestEffort
 	}
+	c.TakesShared = c.HasLatencyTask && w.mayShare(time.Now())
 	return c
 }
 
@@ -228,6 +229,10 @@
 			allocate(chosen, q)
 			continue
 		}
+		if chosen := u.placeShared(pool, q, now); chosen != nil {
+			s.allocateAndStart(one, chosen, q)
+			continue
+		}
 		if u.mayPreempt() && s.awaits(u, pool, q, known) {
 			continue
 		}
--- a/internal/cranksched/worker.go
+++ b/internal/cranksched/worker.go
@@ -36,6 +36,7 @@
 	lastEnd          int64     // number of the last handled end
 	placements       map[crank.TaskID]*placement
 	quarantinedUntil time.Time
+	share            share
 	watched          atomic.Bool // see needsWatch
 }
 
@@ -69,9 +70,11 @@
 	stopRetryAt     time.Time
 	reason          string // of the stop
 	percent         float64
-	progressedAt    time.Time    // when percent last changed, by this instance's clock
-	unchanged       bool         // the last report brought no progress
-	learning        *runLearning // nil unless planning is adaptive and the run may be learned from
+	progressedAt    time.Time     // when percent last changed, by this instance's clock
+	unchanged       bool          // the last report brought no progress
+	latency         time.Duration // newest tail of the response times, for a step with a latency target
+	missed          int           // reports in a row in which it exceeds the target
+	learning        *runLearning  // nil unless planning is adaptive and the run may be learned from
 }
 
 // syncWorkers adds newly listed incarnations and removes workers that have left.
--- a/lease.go
+++ b/lease.go
@@ -54,6 +54,7 @@
 	Run        int64
 	Checkpoint string  // newest one, empty for none
 	Percent    float64 // 0 to 100
+	Load       float64 // over the last half second: of a task with a latency target the tail of its response times in ms, of others the cores in use
 }
 
 // EndKind is the reason why a run ended.
--- a/proofs/crankentryproof/exclusion_test.go
+++ b/proofs/crankentryproof/exclusion_test.go
@@ -5,6 +5,7 @@
 	"time"
 
 	crank "cranberrycrank"
+	"cranberrycrank/standin/crankfakefleet"
 
 	"github.com/matryer/is"
 )
@@ -52,12 +53,14 @@
 				time.Sleep(3 * time.Second)
 				is.True(len(log.started("serving")) >= 1)
 				time.Sleep(3 * time.Second)
-				if v.maxUnavailable == 0 {
-					is.Equal(len(log.started("serving")), 2)
-				}
+				is.Equal(len(log.started("serving")), 2)
+				time.Sleep(3 * time.Second)
 				runs := c.fleet.Runs()
 				time.Sleep(20 * time.Second)
 				is.Equal(c.fleet.Runs(), runs) // they don't take turns
+				for i := range filler.Tasks {
+					is.True(c.fleet.TaskState(crank.TaskID{Job: "filler", Index: i}).Working)
+				}
 			})
 		})
 	}
@@ -135,3 +138,63 @@
 		})
 	}
 }
+
+// A best-effort task stayed beside a task whose latency target it had exceeded, or came back at
+// once.
+func TestBestEffortTaskMakesWayWhereALatencyTargetIsExceeded(t *testing.T) {
+	const disruption = 4 * time.Second // for which a target may be exceeded
+	const target = 50 * time.Millisecond
+	for _, v := range []struct {
+		name     string
+		latency  func(worker string, bestEffort int) time.Duration
+		runs     int  // of the best-effort task, at most
+		finishes bool // it is done in the time
+	}{
+		{"never", func(string, int) time.Duration { return 20 * time.Millisecond }, 1, true},
+		{"everywhere", func(_ string, n int) time.Duration { return time.Duration(20+60*n) * time.Millisecond }, 8, false},
+		{"at_all_but_one", func(worker string, n int) time.Duration {
+			if worker == "w02" {
+				n = 0
+			}
+			return time.Duration(20+60*n) * time.Millisecond
+		}, 4, true},
+		{"nearly_without_it", func(string, int) time.Duration { return 45 * time.Millisecond }, 0, false},
+	} {
+		t.Run(v.name, func(t *testing.T) {
+			runInCluster(t, func(t *testing.T, c *cluster) {
+				is := is.New(t)
+				c.setUp(4)
+				time.Sleep(settled)
+				c.fleet.UpdateConfig(func(f *crankfakefleet.Config) {
+					f.Latency = func(_ crank.TaskID, worker string, n int) time.Duration { return v.latency(worker, n) }
+				})
+				serving := independentTasks(4, time.Hour)
+				serving.LongRunning, serving.Latency, serving.MaxPerWorker = true, target, 1
+				is.NoErr(c.submit("a", "patient", "serving", serving))
+				time.Sleep(3 * time.Second)
+				begun, filler := c.fleet.Runs(), crank.TaskID{Job: "filler"}
+				best := independentTasks(1, 10*time.Second)
+				best.BestEffort = true
+				is.NoErr(c.submit("a", "patient", "filler", best))
+				var since time.Time // the target is exceeded
+				longest := time.Duration(0)
+				for end := time.Now().Add(40 * time.Second); time.Now().Before(end); time.Sleep(samplePeriod) {
+					s := c.fleet.TaskState(filler)
+					if !s.Working || v.latency(s.Worker, 1) <= target {
+						since = time.Time{}
+						continue
+					}
+					if since.IsZero() {
+						since = time.Now()
+					}
+					longest = max(longest, time.Since(since))
+				}
+				is.True(longest < disruption)
+				is.True(c.fleet.Runs()-begun <= v.runs)
+				phase, err := c.phase("a", "patient", "filler")
+				is.NoErr(err)
+				is.Equal(phase == crank.PhaseCompleted, v.finishes)
+			})
+		})
+	}
+}
--- a/standin/crankfakefleet/fleet.go
+++ b/standin/crankfakefleet/fleet.go
@@ -35,12 +35,13 @@
 	Specs   func(job string) (crank.StepJob, bool)  // the job as submitted
 	Faults  func(caller, worker, call string) Fault // may be nil
 	RunTime func(id crank.TaskID, worker string) time.Duration
-	Fails   func(id crank.TaskID, run int64, worker string) bool // may be nil
-	Stuck   func(worker string) bool                             // may be nil; runs there make no progress
-	Broken  func(worker string) bool                             // may be nil; runs that are started there fail after brokenTime
-	Odd     func(worker string) bool                             // may be nil; its reports have rows that can't be read
-	MaxEnds int                                                  // ended runs listed in one report, 0 for all
-	ListAge time.Duration                                        // from the lists of a report to the reading of its clock
+	Latency func(id crank.TaskID, worker string, bestEffort int) time.Duration // of the responses of a task with a latency target, by the number of best-effort tasks at work beside it; may be nil
+	Fails   func(id crank.TaskID, run int64, worker string) bool               // may be nil
+	Stuck   func(worker string) bool                                           // may be nil; runs there make no progress
+	Broken  func(worker string) bool                                           // may be nil; runs that are started there fail after brokenTime
+	Odd     func(worker string) bool                                           // may be nil; its reports have rows that can't be read
+	MaxEnds int                                                                // ended runs listed in one report, 0 for all
+	ListAge time.Duration                                                      // from the lists of a report to the reading of its clock
 	// CrossRackSlowdown multiplies the time of a gang with SameRack on several racks, and
 	// of a task off its DataRack. 0 is the same as 1.
 	CrossRackSlowdown float64
--- a/standin/crankfakefleet/orders.go
+++ b/standin/crankfakefleet/orders.go
@@ -311,7 +311,19 @@
 		} else if run.working && (w.fleet.Stuck == nil || !w.fleet.Stuck(w.entry.ID)) {
 			a.Percent = math.Floor(min(100, 100*float64(time.Since(run.startedAt))/float64(run.duration)))
 		}
+		if run.working && run.step.Latency > 0 && w.fleet.Latency != nil {
+			a.Load = float64(w.fleet.Latency(run.id, w.entry.ID, w.bestEffortAtWork()).Milliseconds())
+		}
 		r.Active = append(r.Active, a)
 	}
 	return r
 }
+
+func (w *worker) bestEffortAtWork() (n int) {
+	for _, run := range w.runs {
+		if run.working && run.step.BestEffort {
+			n++
+		}
+	}
+	return n
+}
--- a/standin/crankfakeplatform/worker.go
+++ b/standin/crankfakeplatform/worker.go
@@ -107,7 +107,7 @@
 	}
 	active, finished := [][]any{}, [][]any{}
 	for _, a := range r.Active {
-		active = append(active, []any{a.Task.String(), a.Run, a.Checkpoint, int(a.Percent), 0})
+		active = append(active, []any{a.Task.String(), a.Run, a.Checkpoint, int(a.Percent), a.Load})
 	}
 	for _, e := range r.Ended {
 		finished = append(finished, []any{e.Number, e.Task.String(), e.Run, e.Kind, e.Checkpoint})
