sched: best-effort tasks make way for a latency target within max_unavailable

Cause: the stop took no account of the step's limit.

Change: such a task stays for two more reports, 1 s, if the limit allows no stop, and a step with a limit tries one shared worker at a time, so that a step that harms is known by its first task.

--- a/internal/cranksched/share.go
+++ b/internal/cranksched/share.go
@@ -13,6 +13,7 @@
 	shareSettle    = 2 * time.Second         // between two starts at one worker, until reports show what the first one did
 	sharedLatency  = 0.7                     // of the target; a worker with slower responses takes no best-effort task
 	missedReports  = 2                       // in a row over the target before best-effort tasks make way
+	latestReports  = 4                       // likewise for those that MaxUnavailable keeps
 	firstShareRest = 30 * time.Second        // for which a worker then takes none; doubles each time
 	maxShareRest   = 10 * time.Minute
 )
@@ -53,9 +54,15 @@
 	if harmed == nil || len(beside) == 0 {
 		return
 	}
-	w.share.rest = min(max(firstShareRest, 2*w.share.rest), maxShareRest)
-	w.share.restUntil = r.Received.Add(w.share.rest)
+	if r.Received.After(w.share.restUntil) {
+		w.share.rest = min(max(firstShareRest, 2*w.share.rest), maxShareRest)
+		w.share.restUntil = r.Received.Add(w.share.rest)
+	}
+	budgets := make(stopBudgets)
 	for _, p := range beside {
+		if harmed.missed < latestReports && !budgets.allows(p) {
+			continue
+		}
 		s.Logger.Info("sched: best-effort task evicted", "task", p.id, "run", p.run, "worker", w.entry.ID, "for", harmed.id.Job,
 			"latency", harmed.latency, "target", harmed.step.Latency, "rest", w.share.rest)
 		s.Scope.Counter("evictions").Inc(1)
@@ -97,9 +104,23 @@
 // placeShared returns a worker with latency targets for a best-effort task for which there is
 // no room elsewhere, or nil.
 func (u unit) placeShared(pool *crankpack.Pool, q crankpack.Request, now time.Time) []*crankpack.WorkerCapacity {
-	if !u.step.BestEffort || u.step.Gang || now.Sub(u.waitingSince) <= shareDelay {
+	if !u.step.BestEffort || u.step.Gang || now.Sub(u.waitingSince) <= shareDelay || u.triesToShare(now) {
 		return nil
 	}
 	q.MayShare = true
 	return pool.Place(q, crankpack.FreeCapacity)
 }
+
+// triesToShare reports whether a task of a step with MaxUnavailable has begun to share a worker
+// just now: others of the step wait to see whether it may stay, as not all could be stopped at once.
+func (u unit) triesToShare(now time.Time) bool {
+	if !u.step.LongRunning || u.step.MaxUnavailable == 0 {
+		return false
+	}
+	for _, m := range u.tasks[0].members() {
+		if p := m.placement; p != nil && p.worker.isShared() && now.Sub(p.startedAt) < shareSettle {
+			return true
+		}
+	}
+	return false
+}
--- a/proofs/crankentryproof/exclusion_test.go
+++ b/proofs/crankentryproof/exclusion_test.go
@@ -198,3 +198,42 @@
 		})
 	}
 }
+
+// Best-effort tasks of a step that may have one unavailable were stopped all at once where they
+// exceeded latency targets.
+func TestBestEffortTasksMakeWayWithinMaxUnavailable(t *testing.T) {
+	runInCluster(t, func(t *testing.T, c *cluster) {
+		is := is.New(t)
+		c.setUp(4)
+		time.Sleep(settled)
+		slow := false
+		c.fleet.UpdateConfig(func(f *crankfakefleet.Config) {
+			f.Latency = func(_ crank.TaskID, worker string, n int) time.Duration {
+				if slow && (worker == "w00" || worker == "w01") {
+					return time.Duration(20+60*n) * time.Millisecond
+				}
+				return 20 * time.Millisecond
+			}
+		})
+		serving := independentTasks(4, time.Hour)
+		serving.LongRunning, serving.Latency, serving.MaxPerWorker = true, 50*time.Millisecond, 1
+		is.NoErr(c.submit("a", "patient", "serving", serving))
+		time.Sleep(3 * time.Second)
+		filler := independentTasks(4, time.Hour)
+		filler.LongRunning, filler.BestEffort, filler.MaxPerWorker, filler.MaxUnavailable = true, true, 1, 1
+		is.NoErr(c.submit("a", "patient", "filler", filler))
+		time.Sleep(15 * time.Second)
+		working := func() (n int) {
+			for i := range filler.Tasks {
+				if c.fleet.TaskState(crank.TaskID{Job: "filler", Index: i}).Working {
+					n++
+				}
+			}
+			return n
+		}
+		is.Equal(working(), filler.Tasks)
+		c.fleet.UpdateConfig(func(*crankfakefleet.Config) { slow = true })
+		time.Sleep(1700 * time.Millisecond) // the first one has been stopped, and the second one's limit is not reached
+		is.Equal(working(), filler.Tasks-1)
+	})
+}
