--- a/internal/cranksched/round.go
+++ b/internal/cranksched/round.go
@@ -212,7 +212,8 @@
 }
 
 // placeTasks starts the tasks of a step that fit now. For others it waits for
-// capacity that is being freed, preempts other work, or reserves capacity for one.
+// capacity that is being freed, shares workers with latency targets, preempts other work, or
+// reserves capacity for one.
 func (s *Scheduler) placeTasks(u unit, pool *crankpack.Pool, reservations map[string][]reservation, known *preemptions, now time.Time) {
 	noCapacityFor := math.MaxInt // least trust of a request that did not fit
 	for _, t := range u.tasks {
