--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -12,6 +12,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -185,11 +186,17 @@
 	process           *exec.Cmd
 }
 
+// freeAddr returns a free address. Its port is below those of outgoing connections, which
+// could take it before the instance listens.
 func freeAddr() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	fatal(err)
-	defer l.Close()
-	return l.Addr().String()
+	for range 1000 {
+		addr := net.JoinHostPort("127.0.0.1", strconv.Itoa(15000+rand.IntN(15000)))
+		if l, err := net.Listen("tcp", addr); err == nil {
+			l.Close()
+			return addr
+		}
+	}
+	panic(unable("no free port"))
 }
 
 // NewNode starts an entry instance with the settings of a small deployment.
