--- a/review/rig-3/rig.go
+++ b/review/rig-3/rig.go
@@ -64,6 +64,7 @@
 type End struct {
 	Task, How string
 	Run       int64
+	AtWork    bool // until then, for a task that lasts
 	At        time.Time
 }
 
@@ -138,11 +139,11 @@
 	r.starts = append(r.starts, s)
 }
 
-func (r *Rig) noteEnd(worker, task string, run int64, how string) {
+func (r *Rig) noteEnd(worker, task string, run int64, how string, atWork bool) {
 	r.Note("worker %s ends %s run %d: %s", worker, task, run, how)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ends = append(r.ends, End{task, how, run, time.Now()})
+	r.ends = append(r.ends, End{task, how, run, atWork, time.Now()})
 }
 
 // Starts returns the starts of a job's tasks.
@@ -158,6 +159,38 @@
 	return starts
 }
 
+// Ends returns the ends of a job's tasks.
+func (r *Rig) Ends(job string) []End {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var ends []End
+	for _, e := range r.ends {
+		if strings.HasPrefix(e.Task, job+".") {
+			ends = append(ends, e)
+		}
+	}
+	return ends
+}
+
+// AtWork reports whether a run of a task that lasts was at work at a time.
+func (r *Rig) AtWork(task string, at time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, s := range r.starts {
+		if s.Task != task || at.Before(s.At.Add(startupTime)) {
+			continue
+		}
+		ended := false
+		for _, e := range r.ends {
+			ended = ended || (e.Task == task && e.Run == s.Run && !e.At.After(at))
+		}
+		if !ended {
+			return true
+		}
+	}
+	return false
+}
+
 // Configure publishes the configuration: two tenants with a key each, and a queue for each
 // priority.
 func (r *Rig) Configure() {
--- a/review/rig-3/worker.go
+++ b/review/rig-3/worker.go
@@ -16,33 +16,41 @@
 const (
 	holdLimit     = 6 * time.Second
 	stopTime      = 100 * time.Millisecond
+	startupTime   = 300 * time.Millisecond // of a task that lasts, until it is at work
+	calmTail      = 20                     // ms
+	harmTail      = 60                     // ms more beside a task that fills at full pace
 	heartbeatTime = 1500 * time.Millisecond
 )
 
-// Worker is a stand-in of a worker. It runs a task for the time that the job's spec names
-// as "work=MILLISECONDS", and starts whatever it is told to start.
+// Worker is a stand-in of a worker. It starts whatever it is told to start. A task runs for the
+// time that the job's spec names as "work=MILLISECONDS", or until it is stopped if that says
+// "lasting serve" or "lasting fill". A task that serves responds within calmTail, and slower
+// while the worker is disturbed and a task that fills works beside it.
 type Worker struct {
 	ID, Addr string
 	rig      *Rig
 	born     int64
 	begun    time.Time
 
-	mu       sync.Mutex
-	fence    int64
-	deadline int64 // of the lease, on the worker's clock
-	active   map[string]*activeRun
-	highest  map[string]int64 // run that has stopped or ended, by task
-	finished [][]any
-	ends     int64
-	changed  chan struct{}
+	mu        sync.Mutex
+	fence     int64
+	deadline  int64 // of the lease, on the worker's clock
+	active    map[string]*activeRun
+	highest   map[string]int64 // run that has stopped or ended, by task
+	finished  [][]any
+	ends      int64
+	changed   chan struct{}
+	disturbed bool
 }
 
 type activeRun struct {
-	run     int64
-	begun   time.Time
-	work    time.Duration
-	stopped bool
-	timer   *time.Timer
+	lasting, fills bool
+	pace           int64 // percent
+	run            int64
+	begun          time.Time
+	work           time.Duration
+	stopped        bool
+	timer          *time.Timer
 }
 
 // NewWorker starts a worker of a service and registers it.
@@ -55,6 +63,7 @@
 	mux.HandleFunc("POST /api/run-start", w.call(w.start))
 	mux.HandleFunc("POST /api/run-stop", w.call(w.stop))
 	mux.HandleFunc("POST /api/hold", w.call(w.hold))
+	mux.HandleFunc("POST /api/pace", w.call(w.pace))
 	mux.HandleFunc("GET /healthz", func(out http.ResponseWriter, _ *http.Request) { out.WriteHeader(http.StatusOK) })
 	go http.Serve(listener, mux)
 	go func() {
@@ -85,13 +94,14 @@
 func (w *Worker) clock() int64 { return time.Since(w.begun).Milliseconds() }
 
 type order struct {
-	Task     string `json:"task"`
-	Run      int64  `json:"run"`
-	Spec     string `json:"spec"`
-	Deadline int64  `json:"deadline_ms"`
-	Fence    int64  `json:"fencing_token"`
-	LastSeen int64  `json:"last_seen"`
-	Wait     int64  `json:"wait_timeout_ms"`
+	Task       string `json:"task"`
+	Run        int64  `json:"run"`
+	Spec       string `json:"spec"`
+	Deadline   int64  `json:"deadline_ms"`
+	Fence      int64  `json:"fencing_token"`
+	LastSeen   int64  `json:"last_seen"`
+	Wait       int64  `json:"wait_timeout_ms"`
+	Percentage int64  `json:"percentage"`
 }
 
 func (w *Worker) call(handle func(http.ResponseWriter, *http.Request, order)) http.HandlerFunc {
@@ -152,7 +162,10 @@
 				work = time.Duration(n) * time.Millisecond
 			}
 		}
-		a = &activeRun{run: o.Run, begun: time.Now(), work: work}
+		a = &activeRun{run: o.Run, begun: time.Now(), work: work, pace: 100, lasting: strings.HasPrefix(o.Spec, "lasting"), fills: o.Spec == "lasting fill"}
+		if a.lasting {
+			work = 24 * time.Hour
+		}
 		a.timer = time.AfterFunc(work, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -171,15 +184,49 @@
 func (w *Worker) end(task, how string) {
 	a := w.active[task]
 	a.timer.Stop()
+	atWork := a.atWork()
 	delete(w.active, task)
 	w.highest[task] = max(w.highest[task], a.run)
 	w.ends++
 	w.finished = append(w.finished, []any{w.ends, task, a.run, how, ""})
-	w.rig.noteEnd(w.ID, task, a.run, how)
+	w.rig.noteEnd(w.ID, task, a.run, how, atWork)
 	close(w.changed)
 	w.changed = make(chan struct{})
 }
 
+// SetDisturbed has tasks that fill disturb those that serve, or not.
+func (w *Worker) SetDisturbed(disturbed bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.disturbed = disturbed
+}
+
+func (a *activeRun) atWork() bool { return a.lasting && time.Since(a.begun) >= startupTime }
+
+// tail is that of the responses of the tasks that serve, in ms. w.mu is held.
+func (w *Worker) tail() int64 {
+	tail := int64(calmTail)
+	for _, a := range w.active {
+		if w.disturbed && a.fills && a.atWork() {
+			tail += harmTail * a.pace / 100
+		}
+	}
+	return tail
+}
+
+func (w *Worker) pace(out http.ResponseWriter, _ *http.Request, o order) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.accept(out, o) {
+		return
+	}
+	if a := w.active[o.Task]; a != nil && a.run == o.Run {
+		a.pace = min(100, max(0, o.Percentage))
+		w.rig.Note("worker %s paces %s run %d to %d %%", w.ID, o.Task, o.Run, a.pace)
+	}
+	reply(out, http.StatusOK, map[string]any{"clock_ms": w.clock()})
+}
+
 func (w *Worker) stop(out http.ResponseWriter, _ *http.Request, o order) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -226,8 +273,17 @@
 	}
 	active := make([][]any, 0, len(w.active))
 	for task, a := range w.active {
-		percent := min(100, int(100*time.Since(a.begun)/a.work))
-		active = append(active, []any{task, a.run, "", percent, 1000})
+		percent, load := min(100, int(100*time.Since(a.begun)/a.work)), int64(1000)
+		switch {
+		case a.lasting && !a.atWork():
+			percent = 0
+		case a.lasting:
+			percent = 100
+		}
+		if a.lasting && !a.fills {
+			load = w.tail()
+		}
+		active = append(active, []any{task, a.run, "", percent, load})
 	}
 	reply(out, http.StatusOK, map[string]any{"clock_ms": w.clock(), "born": w.born, "active": active, "finished": append([][]any{}, w.finished[:min(500, len(w.finished))]...)})
 }
