guard: a lower bound of the time at which a request was sent

An instance that was suspended reads requests that lay in its sockets. Whoever has to order them after something that it has read needs to know when they were sent at the earliest. Connections that are accepted after a mark, and were not in the queue when it was placed, were opened after it; the next request on a connection was sent after the answer to the one before.

The mark is placed by the goroutine that accepts, once poll(2) shows an empty queue, so no clock and no guess at how long the process stood still is needed. It costs nothing until it is asked for.

--- a/internal/crankguard/conn.go
+++ b/internal/crankguard/conn.go
@@ -28,6 +28,7 @@
 	phase        phase
 	begun        time.Time // of the phase
 	progress     time.Time // the last byte
+	sentAfter    time.Time // the caller has sent the request later, see SentAfter
 	requests     int       // begun on the connection
 	head         int       // bytes of the head
 	blank        int       // bytes of empty lines before it
@@ -238,6 +239,7 @@
 	g := c.guard()
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	c.sentAfter = time.Now() // the answer is sent later
 	g.add(c, -c.charge)
 	g.endFragmented(c)
 	if c.phase == phaseBody {
--- a/internal/crankguard/guard.go
+++ b/internal/crankguard/guard.go
@@ -7,6 +7,7 @@
 //	conn        heads: size, empty lines, time
 //	Handler     bodies: bytes from the budget, time without progress, whole time
 //	Reserve     bytes that a handler needs beyond the body, as to decode it
+//	SentAfter   a lower bound of the time at which a request was sent
 //
 // Small requests have a part of the budget to themselves. When the budget is used up, the
 // request that holds most without progress is refused first.
@@ -42,11 +43,12 @@
 	// fragmented counts the requests being read whose bodies come in tiny chunks.
 	fragmented int
 	conns      map[*conn]bool
+	listeners  map[*Listener]bool
 }
 
 // New returns a guard without connections.
 func New(c Config) *Guard {
-	return &Guard{Config: c, report: newReport(c.Logger, c.Scope), conns: make(map[*conn]bool)}
+	return &Guard{Config: c, report: newReport(c.Logger, c.Scope), conns: make(map[*conn]bool), listeners: make(map[*Listener]bool)}
 }
 
 const (
--- a/internal/crankguard/listener.go
+++ b/internal/crankguard/listener.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -29,6 +32,10 @@
 	ListenerConfig
 	guard *Guard
 
+	marksAsked  atomic.Int64 // number of calls of mark
+	marksPlaced atomic.Int64 // of these, all up to the one that was placed last
+	marked      time.Time    // when that was placed
+
 	// Guarded by guard.mu.
 	open    int // connections
 	serving int // goroutines of net/http, which end a moment after their connection
@@ -61,7 +68,19 @@
 			return nil, crank.Wrap(op, crank.KindUnavailable, err)
 		}
 	}
-	return &Listener{Listener: inner, ListenerConfig: c, guard: g}, nil
+	l := &Listener{Listener: inner, ListenerConfig: c, guard: g}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.listeners[l] = true
+	return l, nil
+}
+
+// Close implements net.Listener.
+func (l *Listener) Close() error {
+	l.guard.mu.Lock()
+	defer l.guard.mu.Unlock()
+	delete(l.guard.listeners, l)
+	return l.Listener.Close()
 }
 
 func control(raw syscall.RawConn, f func(fd int) error) error {
@@ -83,7 +102,12 @@
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
+		l.placeMark()
 		inner, err := l.Listener.Accept()
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			l.endInterrupt()
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -98,7 +122,7 @@
 	g := l.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	c := &conn{Conn: inner, listener: l}
+	c := &conn{Conn: inner, listener: l, sentAfter: l.marked}
 	if l.open >= l.Connections {
 		slowest := l.slowest(time.Now())
 		if slowest == nil {
