gate: a job that was cancelled while it was on its way never runs

Callers handed jobs in to an instance that was suspended, gave up and cancelled them at other instances, which answered 410. The same happened without a suspension, while a submission was in an append that the store carried out late, or at the leader.

Cause: the cancellation of a job that was not known left nothing behind.

Now such a cancellation is stored before it is answered, and the order of the topic decides for all instances: a job stored before it is cancelled, one stored after it does not count. Acceptance is told only once all records before the job were read. A job whose caller is known to have sent it after the cancellation was stored counts; it is appended, with the removal of the cancellation, only where the topic ends as read.

--- a/cmd/internal/crankcli/entry.go
+++ b/cmd/internal/crankcli/entry.go
@@ -108,7 +108,9 @@
 	client := crankadapter.NewClient()
 	store := crankadapter.NewStore(client, p.settings.StoreAddr)
 	resources := crankfootprint.Resources{Descriptors: p.settings.Descriptors, MemoryMiB: p.settings.MemoryMiB}
+	var guarded guardedProcess
 	p.entry = crankentry.New(crankentry.Config{
+		MarkConnections: func() { guarded.guard.Mark() },
 		Instance:        p.settings.Instance,
 		Zone:            p.settings.Zone,
 		PeerAddr:        p.settings.PeerListen,
@@ -133,7 +135,7 @@
 		Scope:           metrics.scope,
 	})
 	p.logger.Info("entry: started", "version", Version, "settings", p.settingsPath, "listen", p.settings.Listen, "store", p.settings.StoreAddr)
-	guarded := newGuardedProcess(p.settings.Guard, p.settings.MemoryMiB, p.entry.Requests.Limits, p.logger, metrics.scope)
+	guarded = newGuardedProcess(p.settings.Guard, p.settings.MemoryMiB, p.entry.Requests.Limits, p.logger, metrics.scope)
 	host, _, err := net.SplitHostPort(p.settings.Listen)
 	if err != nil {
 		return err
--- a/internal/crankentry/entry.go
+++ b/internal/crankentry/entry.go
@@ -54,6 +54,9 @@
 	Descriptors     int           // that the process may open, 0 if not known
 	LinkMbps        float64       // of the machine's link, 0 if not known
 	Uptime          crank.Uptime
+	// MarkConnections has requests on connections that are accepted from now on count as sent
+	// after now, see crankgate.Request; nil for none.
+	MarkConnections func()
 	Logger          *slog.Logger
 	Scope           tally.Scope
 }
@@ -114,7 +117,7 @@
 	operator := crankoperator.New(c.DecodeOperator, c.Logger)
 	e.writer = crankfeed.NewWriter(crankfeed.WriterConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Producer: c.Instance + "/" + rand.Text(), Epoch: 1, Limits: c.StoreLimits, Withdraw: c.Planning.Adaptive})
 	budget := crankjobs.Budget{Bytes: int64(c.MemoryMiB) << 20 / jobMemoryShare, Retention: c.ResultRetention + retentionMargin}
-	e.Requests = crankgate.New(crankgate.Config{Operator: operator, Jobs: e.jobs, Writer: e.writer, Leader: &leaderRoute{e: e}, Planning: c.Planning, ConfigBound: c.ConfigBound, StoreLimits: c.StoreLimits, Budget: budget, Logger: c.Logger, Scope: c.Scope})
+	e.Requests = crankgate.New(crankgate.Config{Operator: operator, Jobs: e.jobs, Writer: e.writer, Store: c.Store, Leader: &leaderRoute{e: e}, Planning: c.Planning, ConfigBound: c.ConfigBound, StoreLimits: c.StoreLimits, Budget: budget, Logger: c.Logger, Scope: c.Scope})
 	e.followers = []*crankfeed.Follower{
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.OperatorTopic, Logger: c.Logger, Wait: crankfeed.Constant(operatorReadWait), Sink: operator}),
 		crankfeed.NewFollower(crankfeed.FollowerConfig{Store: c.Store, Topic: crank.JobTopic, Logger: c.Logger, Wait: e.jobReadWait, MinInterval: e.jobReadInterval, Wake: e.jobs.WaitStarted(), Sink: e.jobs, BeforeLoad: e.spreadLoad}),
@@ -166,6 +169,20 @@
 	return max(1, view.State.InstanceCount())
 }
 
+// markConnections calls MarkConnections whenever withdrawals were read, until the context ends.
+func (e *Entry) markConnections(ctx context.Context) error {
+	for {
+		select {
+		case <-e.jobs.Withdrawn():
+			if e.MarkConnections != nil {
+				e.MarkConnections()
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
 // Ready reports whether this instance accepts requests.
 func (e *Entry) Ready() bool { return !e.draining.Load() && e.Requests.Ready() }
 
@@ -183,7 +200,7 @@
 // until the context ends.
 func (e *Entry) RunFeeds(ctx context.Context) error {
 	var g run.Group
-	for _, actor := range []func(context.Context) error{e.followers[0].Run, e.followers[1].Run, e.writer.Run, e.timeline.Run, e.witness.Run, e.announce} {
+	for _, actor := range []func(context.Context) error{e.followers[0].Run, e.followers[1].Run, e.writer.Run, e.timeline.Run, e.witness.Run, e.announce, e.markConnections} {
 		callCtx, cancel := context.WithCancel(ctx)
 		g.Add(func() error { return actor(callCtx) }, func(error) { cancel() })
 	}
--- a/internal/crankgate/cancel.go
+++ b/internal/crankgate/cancel.go
@@ -14,11 +14,18 @@
 // under keys of their own before it reads the job topic again.
 const maxUniqueCancellations = 8
 
-// Cancel cancels a job. An error of KindExpired means that it does not exist.
+// Cancel cancels a job. An error of KindExpired means that it does not exist, and that
+// submissions of it that were sent before never run.
 func (h *RequestHandler) Cancel(ctx context.Context, r RoutedRequest) error {
 	j, err := h.findJob(ctx, r)
-	if err == nil && !j.Ended() {
+	switch {
+	case err == nil && !j.Ended():
 		err = h.whileHeld(ctx, r, func(r RoutedRequest) error { return h.cancel(ctx, r, j.Job.Accepted) })
+	case crank.KindOf(err) == crank.KindExpired:
+		var record crank.KeyedRecord
+		if record, err = crankjobs.WithdrawalRecord(r.Job); err == nil {
+			err = h.whileHeld(ctx, r, func(r RoutedRequest) error { return h.withdraw(ctx, r, record) })
+		}
 	}
 	h.Logger.Info("gate: cancellation", "job", r.Job, "phase", j.Phase(), "result", resultOf(err), "took", time.Since(r.Arrived).Round(time.Millisecond), "error", err)
 	return err
@@ -41,7 +48,7 @@
 		}
 		records = append(records, unique)
 	}
-	err := h.append(ctx, r, records...)
+	_, err := h.append(ctx, r, records...)
 	h.unread.end(known, err)
 	return err
 }
--- a/internal/crankgate/gate.go
+++ b/internal/crankgate/gate.go
@@ -8,6 +8,7 @@
 //
 //	Route        queue, key, current configuration
 //	Submit       leader (job and claim in one append), or else the job topic
+//	             (only where it ends as read, if the job was cancelled before)
 //	Phase        replica, or the end as the leader stores it
 //	Cancel       job topic
 //
@@ -56,6 +57,7 @@
 	Operator    *crankoperator.OperatorReplica
 	Jobs        *crankjobs.JobReplica
 	Writer      *crankfeed.Writer
+	Store       crank.Store
 	Leader      crank.Leader
 	Planning    crank.Planning
 	StoreLimits crank.StoreLimits
@@ -68,13 +70,14 @@
 // RequestHandler serves callers' requests. It is safe for concurrent use.
 type RequestHandler struct {
 	Config
-	unread unreadCancellations
+	unread      unreadCancellations
+	withdrawing chan struct{} // a token for each withdrawal that is not answered yet
 }
 
 // New returns a request handler.
 func New(c Config) *RequestHandler {
 	c.ConfigBound = cmp.Or(c.ConfigBound, defaultConfigBound)
-	return &RequestHandler{Config: c}
+	return &RequestHandler{Config: c, withdrawing: make(chan struct{}, maxPendingWithdrawals)}
 }
 
 // Request is a caller's request.
@@ -83,6 +86,7 @@
 	Key        string        // API key, empty for none
 	Deadline   time.Duration // how long the caller waits, 0 if unknown
 	Hold       bool          // wait for a current configuration rather than be refused
+	SentAfter  time.Time     // the caller has sent it later; zero if that is not known
 }
 
 // RoutedRequest is a request that Route accepted.
@@ -101,6 +105,7 @@
 type Refusal struct {
 	Cause      error
 	RetryAfter time.Duration // 0 means at once
+	Final      bool          // it holds for earlier attempts at the call too
 }
 
 // Error implements error.
--- a/internal/crankgate/submit.go
+++ b/internal/crankgate/submit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"log/slog"
 	"time"
 
@@ -37,8 +38,8 @@
 	uncertain := false
 	for {
 		err := call(r)
-		if err == nil {
-			return nil
+		if refusal := (*Refusal)(nil); err == nil || (errors.As(err, &refusal) && refusal.Final) {
+			return err
 		}
 		uncertain = uncertain || crank.KindOf(err) == crank.KindUnknown
 		if !r.request.Hold || (!uncertain && crank.KindOf(err) != crank.KindUnavailable) {
@@ -106,6 +107,9 @@
 	if !h.Budget.Fits(h.Jobs.View().State, 0, job) {
 		return h.refuseForMemory(ctx, r, job)
 	}
+	if len(h.Jobs.View().State.Withdrawals(job.ID)) > 0 {
+		return h.resubmit(ctx, r, job)
+	}
 	return h.storeSubmission(ctx, r, job, record)
 }
 
@@ -131,20 +135,25 @@
 	if leaderErr == nil || crankfeed.RefusedForGood(leaderErr) {
 		return leaderErr
 	}
-	if crank.KindOf(leaderErr) == crank.KindLimited {
+	switch crank.KindOf(leaderErr) {
+	case crank.KindLimited:
 		return h.refuseForMemory(ctx, r, job)
+	case crank.KindConflict:
+		return h.refuseWithdrawn(ctx, r)
 	}
 	h.Logger.Debug("gate: leader did not store a submission", "job", job.ID, "error", leaderErr)
-	err := h.append(ctx, r, record)
+	stored, err := h.append(ctx, r, record)
+	if err == nil {
+		return h.confirm(ctx, r, stored)
+	}
 	if crank.KindOf(leaderErr) == crank.KindUnknown && crank.KindOf(err) == crank.KindUnavailable {
 		return &crank.Error{Op: "submit", Kind: crank.KindUnknown, Cause: err}
 	}
 	return err
 }
 
-func (h *RequestHandler) append(ctx context.Context, r RoutedRequest, records ...crank.KeyedRecord) error {
+func (h *RequestHandler) append(ctx context.Context, r RoutedRequest, records ...crank.KeyedRecord) (crank.OffsetRange, error) {
 	callCtx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
-	_, err := h.Writer.Append(callCtx, records...)
-	return err
+	return h.Writer.Append(callCtx, records...)
 }
--- a/internal/crankjobs/record.go
+++ b/internal/crankjobs/record.go
@@ -253,7 +253,8 @@
 
 // cancellation is the value of a cancellation under a key of its own.
 type cancellation struct {
-	Job string `json:"job"`
+	Job     string `json:"job"`
+	Unknown bool   `json:"unknown,omitempty"` // no job with the ID was known, see Withdrawal
 }
 
 // UniqueCancellationRecord returns a record that cancels a job and that no later one
@@ -263,14 +264,14 @@
 	return encode(cancelPrefix+rand.Text(), cancellation{Job: id})
 }
 
-// cancelledJob returns the ID of the job that a cancellation with a key of its own
-// cancels, or "" if it has none.
-func cancelledJob(value []byte) string {
+// decodeCancellation returns the value of a cancellation with a key of its own, the zero
+// value if it is that of another one.
+func decodeCancellation(value []byte) cancellation {
 	var c cancellation
 	if err := json.Unmarshal(value, &c); err != nil {
-		return ""
+		return cancellation{}
 	}
-	return c.Job
+	return c
 }
 
 // Limits of a record of progress.
--- a/internal/crankjobs/replica.go
+++ b/internal/crankjobs/replica.go
@@ -25,11 +25,12 @@
 	changed     chan struct{}
 	waiters     int           // blocked calls of Wait
 	waitStarted chan struct{} // see WaitStarted
+	withdrawn   chan struct{} // see Withdrawn
 }
 
 // New returns an empty replica.
 func New(logger *slog.Logger) *JobReplica {
-	return &JobReplica{logger: logger, view: View{State: NewState()}, changed: make(chan struct{}), waitStarted: make(chan struct{}, 1)}
+	return &JobReplica{logger: logger, view: View{State: NewState()}, changed: make(chan struct{}), waitStarted: make(chan struct{}, 1), withdrawn: make(chan struct{}, 1)}
 }
 
 // Reset implements crankfeed.Sink.
@@ -45,7 +46,7 @@
 func (j *JobReplica) Apply(records []crank.KeyedRecord) { j.applyTo(j.View().State, records) }
 
 func (j *JobReplica) applyTo(s State, records []crank.KeyedRecord) {
-	now := time.Now()
+	now, revision := time.Now(), s.Revision
 	for _, r := range records {
 		next, err := s.With(r, now)
 		if err != nil {
@@ -54,6 +55,16 @@
 		s = next
 	}
 	j.update(func(v *View) { v.State = s })
+	if s.withdrawals.newest > revision {
+		notify(j.withdrawn)
+	}
+}
+
+func notify(c chan struct{}) {
+	select {
+	case c <- struct{}{}:
+	default:
+	}
 }
 
 // CaughtUp implements crankfeed.Sink.
@@ -90,10 +101,7 @@
 	}
 	j.addWaiters(1)
 	defer j.addWaiters(-1)
-	select {
-	case j.waitStarted <- struct{}{}:
-	default:
-	}
+	notify(j.waitStarted)
 	var v View
 	err := crankwait.Until(ctx, "book wait", func() (bool, <-chan struct{}) {
 		var changed <-chan struct{}
@@ -119,3 +127,6 @@
 // WaitStarted returns a channel that gets a token when a call of Wait starts to
 // block.
 func (j *JobReplica) WaitStarted() <-chan struct{} { return j.waitStarted }
+
+// Withdrawn returns a channel that gets a token after withdrawals were read.
+func (j *JobReplica) Withdrawn() <-chan struct{} { return j.withdrawn }
--- a/internal/crankjobs/state.go
+++ b/internal/crankjobs/state.go
@@ -21,6 +21,7 @@
 	Unreadable     bool         // the newest record of its progress can't be read, so that its tasks must not be started
 	later          bool         // that record was written by a later version
 	Revision       int64        // of the state in which the job last changed
+	submitted      crank.Offset // of its record
 	cancelOffset   crank.Offset // of the first cancellation that was read
 	cancelKeys     []string     // of cancellations with a key of their own, without the prefix
 	progressOffset crank.Offset
@@ -89,6 +90,7 @@
 	rosterUnreadable bool  // the newest roster can't be read
 	reserved         int64 // sum of the jobs'
 	jobs             *immutable.Map[string, RecordedJob]
+	withdrawals      withdrawals
 	instances        *immutable.Map[string, seenAnnouncement]
 	ends             *immutable.Map[string, seenEnds] // by key, without its prefix
 }
@@ -96,7 +98,7 @@
 // NewState returns the state of an empty topic.
 func NewState() State {
 	return State{
-		jobs: immutable.NewMap[string, RecordedJob](nil), instances: immutable.NewMap[string, seenAnnouncement](nil), ends: immutable.NewMap[string, seenEnds](nil),
+		jobs: immutable.NewMap[string, RecordedJob](nil), withdrawals: newWithdrawals(), instances: immutable.NewMap[string, seenAnnouncement](nil), ends: immutable.NewMap[string, seenEnds](nil),
 	}
 }
 
@@ -149,12 +151,13 @@
 	return nil
 }
 
-// EndedBefore returns the IDs of jobs whose end this instance read before a time.
+// EndedBefore returns the IDs of jobs whose end or whose withdrawal this instance read
+// before a time.
 func (s State) EndedBefore(t time.Time) []string {
-	var ids []string
+	ids := s.withdrawnBefore(t)
 	for i := s.jobs.Iterator(); !i.Done(); {
 		id, j, _ := i.Next()
-		if !j.endSeen.IsZero() && j.endSeen.Before(t) {
+		if !j.endSeen.IsZero() && j.endSeen.Before(t) && s.withdrawalsSeenBefore(id, t) {
 			ids = append(ids, id)
 		}
 	}
@@ -168,6 +171,9 @@
 	for _, key := range j.cancelKeys {
 		records = append(records, crank.KeyedRecord{Key: cancelPrefix + key})
 	}
+	for _, w := range s.Withdrawals(id) {
+		records = append(records, crank.KeyedRecord{Key: cancelPrefix + w.Key})
+	}
 	return records
 }
 
@@ -208,21 +214,25 @@
 	}
 	uniqueKey := ""
 	if prefix == cancelPrefix {
-		if job := cancelledJob(r.Value); job != "" {
-			uniqueKey, id = id, job
+		switch c := decodeCancellation(r.Value); {
+		case len(r.Value) == 0:
+			return s.withoutWithdrawal(id), nil
+		case c.Job != "" && c.Unknown:
+			return s.withWithdrawal(c.Job, Withdrawal{Key: id, Offset: r.Offset, Seen: now}), nil
+		case c.Job != "":
+			uniqueKey, id = id, c.Job
 		}
 	}
 	j, known := s.jobs.Get(id)
 	if !known {
 		j = RecordedJob{cancelOffset: noOffset, progressOffset: noOffset}
 	}
-	j.Revision = s.Revision
-	before := j.reserved()
+	before := j
 	var failure error
 	switch {
 	case len(r.Value) == 0 && prefix == jobPrefix:
 		s.jobs = s.jobs.Delete(id)
-		s.reserved -= before
+		s.reserved -= j.reserved()
 		return s, nil
 	case len(r.Value) == 0:
 		return s, nil
@@ -234,8 +244,12 @@
 		if err := job.Validate(); err != nil { // the planner relies on it
 			return s, err
 		}
-		j.Job, j.Submitted = job, true
+		if s.Withdraws(job, r.Offset) {
+			return s, nil
+		}
+		j.Job, j.Submitted, j.submitted = job, true, r.Offset
 		j.recordBytes, j.dueBytes = recordBytes(job), OccurrenceBytes(job)
+		j = s.withLaterWithdrawals(j)
 	case prefix == jobPrefix:
 		return s, nil
 	case prefix == cancelPrefix:
@@ -248,12 +262,18 @@
 			j.Progress, j.progressOffset = p, r.Offset
 		}
 	}
-	if j.Ended() && j.endSeen.IsZero() {
-		j.endSeen = now
+	return s.withJob(id, before, j, now), failure
+}
+
+// withJob returns the state with a job changed.
+func (s State) withJob(id string, before, after RecordedJob, now time.Time) State {
+	after.Revision = s.Revision
+	if after.Ended() && after.endSeen.IsZero() {
+		after.endSeen = now
 	}
-	s.jobs = s.jobs.Set(id, j)
-	s.reserved += j.reserved() - before
-	return s, failure
+	s.jobs = s.jobs.Set(id, after)
+	s.reserved += after.reserved() - before.reserved()
+	return s
 }
 
 func decode(value []byte, to any) error {
--- a/internal/cranksched/submit.go
+++ b/internal/cranksched/submit.go
@@ -126,6 +126,11 @@
 		close(sub.done)
 		return sub
 	}
+	if s.Jobs.View().State.Withdraws(spec, math.MaxInt64) {
+		sub.err = errWithdrawn()
+		close(sub.done)
+		return sub
+	}
 	if err := s.reserve(spec); err != nil {
 		sub.err = err
 		close(sub.done)
@@ -187,28 +192,60 @@
 	return []crank.KeyedRecord{submitted, claimed}, err
 }
 
-// handleSubmissionResult adds a stored job. It may have been read, and even have
-// ended, before the answer to the append arrived.
+// errWithdrawn is the error of a submission whose job was cancelled before it was stored.
+func errWithdrawn() error {
+	return crank.Fail("leader submit", crank.KindConflict, "the job was cancelled before it was stored")
+}
+
+// handleSubmissionResult adds a stored job, once all records before it were read: a
+// withdrawal among them would come first.
 func (s *Scheduler) handleSubmissionResult(spec crank.StepJob, claim crankjobs.Progress, sub *submission, stored crank.OffsetRange, err error) {
-	delete(s.submitting, spec.ID)
-	defer close(sub.done)
 	if crank.KindOf(err) == crank.KindFenced {
 		s.Leadership.Resign("the store has seen a higher epoch")
 		err = crank.Fail("leader submit", crank.KindUnavailable, "another instance holds the term")
 	}
 	if err != nil {
-		delete(s.unread, spec.ID)
-		sub.err = err
 		s.Logger.Warn("sched: submission not stored", "job", spec.ID, "error", err)
+		s.endSubmission(spec, sub, err)
 		return
 	}
 	s.unread[spec.ID] = unreadJob{bytes: s.Budget.Need(spec), end: stored.End}
-	s.extendKnown(stored)
+	if s.extendKnown(stored) {
+		s.addSubmitted(spec, claim, sub, stored)
+		return
+	}
+	go func() {
+		if _, err := s.Jobs.Wait(s.ctx, func(v crankjobs.View) bool { return v.End >= stored.First }); err == nil {
+			s.post(func() { s.addSubmitted(spec, claim, sub, stored) })
+		}
+	}()
+}
+
+// endSubmission answers the callers of a submission. Nothing is stored if it fails.
+func (s *Scheduler) endSubmission(spec crank.StepJob, sub *submission, err error) {
+	delete(s.submitting, spec.ID)
+	if err != nil {
+		delete(s.unread, spec.ID)
+	}
+	sub.err = err
+	close(sub.done)
+}
+
+// addSubmitted adds a stored job unless it was withdrawn before. It may have been read, and
+// even have ended, before the answer to the append arrived.
+func (s *Scheduler) addSubmitted(spec crank.StepJob, claim crankjobs.Progress, sub *submission, stored crank.OffsetRange) {
+	view := s.Jobs.View()
+	if view.State.Withdraws(spec, stored.First) {
+		s.Logger.Info("sched: submission was cancelled before it was stored", "job", spec.ID)
+		s.endSubmission(spec, sub, errWithdrawn())
+		return
+	}
+	s.endSubmission(spec, sub, nil)
 	if j := s.jobs[spec.ID]; j != nil {
 		j.claimed = true
 		return
 	}
-	if e, ok := s.Jobs.View().State.Job(spec.ID); s.dropped[spec.ID] || (ok && e.Ended()) {
+	if e, ok := view.State.Job(spec.ID); s.dropped[spec.ID] || (ok && e.Ended()) {
 		return
 	}
 	s.addJob(crankjobs.RecordedJob{Job: spec, Submitted: true, Progress: claim}, false)
--- a/step.go
+++ b/step.go
@@ -58,6 +58,9 @@
 	Steps         []Step        `json:"steps"`
 	Repeat        Repeat        `json:"repeat,omitzero"`
 	Accepted      time.Time     `json:"accepted"` // on the clock of the accepting instance
+	// SentAfter is an offset of the job topic: the caller sent the submission after the records
+	// before it were stored. 0 if that is not known.
+	SentAfter Offset `json:"sent-after,omitempty"`
 }
 
 // TaskID identifies a task of a job.
