jobs: withdrawals have records of their own, which earlier versions pass over

While instances of the earlier version ran, a job that was handed in anew after its cancellation to one of them was accepted (200) and then cancelled for all: the earlier version takes the new record for a cancellation, and this version did not count what it had stored.

Cause: the record of an unknown job's cancellation was one of the known kind, and a submission that an instance of the earlier version stores carries nothing that tells when it was sent.

--- a/internal/crankgate/gate.go
+++ b/internal/crankgate/gate.go
@@ -8,9 +8,9 @@
 //
 //	Route        queue, key, current configuration
 //	Submit       leader (job and claim in one append), or else the job topic
-//	             (only where it ends as read, if the job was cancelled before)
+//	             (only where it ends as read if the job was withdrawn)
 //	Phase        replica, or the end as the leader stores it
-//	Cancel       job topic
+//	Cancel       job topic; a job that is not known is withdrawn
 //
 // Submissions and cancellations are held for a while when the store does not take
 // them (crankadmission).
--- a/internal/crankgate/withdraw.go
+++ b/internal/crankgate/withdraw.go
@@ -22,7 +22,8 @@
 )
 
 // withdraw cancels a job that is not known: submissions that are still on their way must not
-// run after the answer. An error of KindExpired means that it is stored.
+// run after the answer. An error of KindExpired means that the record is stored and that no
+// such job was stored before it.
 func (h *RequestHandler) withdraw(ctx context.Context, r RoutedRequest, record crank.KeyedRecord) error {
 	const op = "withdraw"
 	select {
@@ -77,8 +78,7 @@
 			return err
 		}
 		a := crank.StoreAppend{Topic: crank.JobTopic, ExpectedEnd: view.End, Records: append(view.State.RemovalRecords(job.ID), record)}
-		_, err = h.Store.Append(callCtx, a)
-		if crank.KindOf(err) != crank.KindConflict || err == nil {
+		if _, err = h.Store.Append(callCtx, a); crank.KindOf(err) != crank.KindConflict {
 			return crank.Wrap(op, crank.KindUnknown, err)
 		}
 		if _, err := h.Jobs.Wait(callCtx, func(v crankjobs.View) bool { return v.End > view.End }); err != nil {
--- a/internal/crankjobs/record.go
+++ b/internal/crankjobs/record.go
@@ -22,14 +22,15 @@
 
 // Prefixes of the keys of the job topic.
 const (
-	jobPrefix      = "job/"
-	cancelPrefix   = "cancel/"
-	progressPrefix = "progress/"
-	instancePrefix = "instance/"
-	endsPrefix     = "ends/"
-	rosterKey      = "roster"
-	estimatesKey   = "estimates"
-	termKey        = "term"
+	jobPrefix        = "job/"
+	cancelPrefix     = "cancel/"
+	withdrawalPrefix = "withdrawn/"
+	progressPrefix   = "progress/"
+	instancePrefix   = "instance/"
+	endsPrefix       = "ends/"
+	rosterKey        = "roster"
+	estimatesKey     = "estimates"
+	termKey          = "term"
 )
 
 // Outcome is the final state of a job, as the planner recorded it.
@@ -240,9 +241,18 @@
 	return rest[:used]
 }
 
-// SubmissionRecord returns the record of an accepted job.
+// submission is the value of the record of a job.
+type submission struct {
+	crank.StepJob
+	// Confirmed tells that whoever stores the job accepts it only once it has read that no
+	// withdrawal comes before it. Earlier versions don't.
+	Confirmed bool `json:"confirmed,omitempty"`
+}
+
+// SubmissionRecord returns the record of a job. It is not accepted before all records up to
+// it were read, see State.Withdraws.
 func SubmissionRecord(j crank.StepJob) (crank.KeyedRecord, error) {
-	return encode(jobPrefix+j.ID, j)
+	return encode(jobPrefix+j.ID, submission{StepJob: j, Confirmed: true})
 }
 
 // CancellationRecord returns the record that cancels a job. Cancelling it again replaces
@@ -253,8 +263,7 @@
 
 // cancellation is the value of a cancellation under a key of its own.
 type cancellation struct {
-	Job     string `json:"job"`
-	Unknown bool   `json:"unknown,omitempty"` // no job with the ID was known, see Withdrawal
+	Job string `json:"job"`
 }
 
 // UniqueCancellationRecord returns a record that cancels a job and that no later one
@@ -264,14 +273,14 @@
 	return encode(cancelPrefix+rand.Text(), cancellation{Job: id})
 }
 
-// decodeCancellation returns the value of a cancellation with a key of its own, the zero
-// value if it is that of another one.
-func decodeCancellation(value []byte) cancellation {
+// cancelledJob returns the ID of the job that a cancellation with a key of its own
+// cancels, or "" if it has none.
+func cancelledJob(value []byte) string {
 	var c cancellation
 	if err := json.Unmarshal(value, &c); err != nil {
-		return cancellation{}
+		return ""
 	}
-	return c
+	return c.Job
 }
 
 // Limits of a record of progress.
--- a/internal/crankjobs/state.go
+++ b/internal/crankjobs/state.go
@@ -22,6 +22,7 @@
 	later          bool         // that record was written by a later version
 	Revision       int64        // of the state in which the job last changed
 	submitted      crank.Offset // of its record
+	confirmed      bool         // see submission
 	cancelOffset   crank.Offset // of the first cancellation that was read
 	cancelKeys     []string     // of cancellations with a key of their own, without the prefix
 	progressOffset crank.Offset
@@ -172,7 +173,7 @@
 		records = append(records, crank.KeyedRecord{Key: cancelPrefix + key})
 	}
 	for _, w := range s.Withdrawals(id) {
-		records = append(records, crank.KeyedRecord{Key: cancelPrefix + w.Key})
+		records = append(records, crank.KeyedRecord{Key: withdrawalPrefix + w.Key})
 	}
 	return records
 }
@@ -212,15 +213,13 @@
 	if prefix == endsPrefix {
 		return s.withWitnessedEnds(id, r.Value, now)
 	}
+	if prefix == withdrawalPrefix {
+		return s.withWithdrawal(id, r, now)
+	}
 	uniqueKey := ""
 	if prefix == cancelPrefix {
-		switch c := decodeCancellation(r.Value); {
-		case len(r.Value) == 0:
-			return s.withoutWithdrawal(id), nil
-		case c.Job != "" && c.Unknown:
-			return s.withWithdrawal(c.Job, Withdrawal{Key: id, Offset: r.Offset, Seen: now}), nil
-		case c.Job != "":
-			uniqueKey, id = id, c.Job
+		if job := cancelledJob(r.Value); job != "" {
+			uniqueKey, id = id, job
 		}
 	}
 	j, known := s.jobs.Get(id)
@@ -237,18 +236,18 @@
 	case len(r.Value) == 0:
 		return s, nil
 	case prefix == jobPrefix && !j.Submitted:
-		var job crank.StepJob
+		var job submission
 		if err := decode(r.Value, &job); err != nil {
 			return s, err
 		}
 		if err := job.Validate(); err != nil { // the planner relies on it
 			return s, err
 		}
-		if s.Withdraws(job, r.Offset) {
+		if job.Confirmed && s.Withdraws(job.StepJob, r.Offset) {
 			return s, nil
 		}
-		j.Job, j.Submitted, j.submitted = job, true, r.Offset
-		j.recordBytes, j.dueBytes = recordBytes(job), OccurrenceBytes(job)
+		j.Job, j.Submitted, j.submitted, j.confirmed = job.StepJob, true, r.Offset, job.Confirmed
+		j.recordBytes, j.dueBytes = recordBytes(j.Job), OccurrenceBytes(j.Job)
 		j = s.withLaterWithdrawals(j)
 	case prefix == jobPrefix:
 		return s, nil
--- a/internal/crankjobs/withdrawal.go
+++ b/internal/crankjobs/withdrawal.go
@@ -17,6 +17,8 @@
 // job may still be on its way: in the sockets of an instance, at the leader or in an append
 // without an answer. Stored before the withdrawal, the job is cancelled. Stored later, it
 // does not count unless its caller is known to have sent it later (see crank.StepJob.SentAfter).
+// Earlier versions pass a withdrawal over. What they store counts, since they have told their
+// callers so.
 type Withdrawal struct {
 	Key    string // of its record, without the prefix
 	Offset crank.Offset
@@ -30,10 +32,9 @@
 	newest int64                          // revision of the state that read the last one
 }
 
-// WithdrawalRecord returns the record that cancels a job that is not known. Earlier versions
-// take it for the cancellation of a job.
+// WithdrawalRecord returns the record that cancels a job that is not known.
 func WithdrawalRecord(id string) (crank.KeyedRecord, error) {
-	return encode(cancelPrefix+rand.Text(), cancellation{Job: id, Unknown: true})
+	return encode(withdrawalPrefix+rand.Text(), cancellation{Job: id})
 }
 
 // Withdrawals returns the withdrawals of a job.
@@ -59,8 +60,8 @@
 	return oldest
 }
 
-// Withdraws reports whether a submission that is stored at an offset does not count, as far
-// as the state tells.
+// Withdraws reports whether a submission that this version stores at an offset does not count,
+// as far as the state tells.
 func (s State) Withdraws(j crank.StepJob, stored crank.Offset) bool {
 	return slices.ContainsFunc(s.Withdrawals(j.ID), func(w Withdrawal) bool { return w.Offset >= j.SentAfter && w.Offset < stored })
 }
@@ -69,25 +70,34 @@
 	return withdrawals{byJob: immutable.NewMap[string, []Withdrawal](nil), jobs: immutable.NewMap[string, string](nil)}
 }
 
-// withWithdrawal returns the state with a withdrawal. Records may come in another order than
-// that of their offsets while a topic is loaded.
-func (s State) withWithdrawal(job string, w Withdrawal) State {
-	if _, known := s.withdrawals.jobs.Get(w.Key); known {
-		return s
+// withWithdrawal returns the state after the record of a withdrawal, which removes it if it has
+// no value. Records may come in another order than that of their offsets while a topic is
+// loaded.
+func (s State) withWithdrawal(key string, r crank.KeyedRecord, now time.Time) (State, error) {
+	if len(r.Value) == 0 {
+		return s.withoutWithdrawal(key), nil
+	}
+	var c cancellation
+	if err := decode(r.Value, &c); err != nil {
+		return s, err
 	}
+	if _, known := s.withdrawals.jobs.Get(key); known {
+		return s, nil
+	}
+	job, w := c.Job, Withdrawal{Key: key, Offset: r.Offset, Seen: now}
 	s.withdrawals.byJob = s.withdrawals.byJob.Set(job, append(slices.Clone(s.Withdrawals(job)), w))
 	s.withdrawals.jobs = s.withdrawals.jobs.Set(w.Key, job)
 	s.withdrawals.newest = s.Revision
 	j, ok := s.Job(job)
 	switch {
 	case !ok:
-	case s.Withdraws(j.Job, j.submitted):
+	case j.confirmed && s.Withdraws(j.Job, j.submitted):
 		s.jobs = s.jobs.Delete(job)
 		s.reserved -= j.reserved()
 	case w.Offset > j.submitted:
-		s = s.withJob(job, j, j.withCancellation("", w.Offset), w.Seen)
+		s = s.withJob(job, j, j.withCancellation("", w.Offset), now)
 	}
-	return s
+	return s, nil
 }
 
 // withoutWithdrawal returns the state without the withdrawal of a key, if it has one.
