--- a/proofs/cranksoak/upgrade_test.go
+++ b/proofs/cranksoak/upgrade_test.go
@@ -11,7 +11,6 @@
 	"testing"
 	"time"
 
-	crank "cranberrycrank"
 	"cranberrycrank/standin/crankfakeinstance"
 	"cranberrycrank/standin/crankfakerig"
 	"cranberrycrank/standin/crankfakesite"
@@ -164,13 +163,8 @@
 
 // submitOne submits jobs of one task until one is accepted, and returns it.
 func (u *upgrade) submitOne(prefix string, runTime time.Duration) crankfakesite.Job {
-	class := u.site.Classes[0]
 	for n, until := 0, time.Now().Add(15*time.Second); time.Now().Before(until); n++ {
-		id := fmt.Sprintf("%s%04d", prefix, n)
-		j := crankfakesite.Job{Class: class.Name, StepJob: crank.StepJob{
-			ID: id, Queue: class.Name, Workspace: "tenant-0", Payload: "plan " + id, Priority: class.Priority, Attempts: class.Attempts,
-			Steps: []crank.Step{{Tasks: 1, RunTime: runTime, Demand: crank.Demand{MilliCores: 2000, Accelerators: 1}}},
-		}}
+		j := u.newJob(fmt.Sprintf("%s%04d", prefix, n), runTime)
 		if u.rig.Submit(u.t.Context(), j, u.rig.Instances()[0]) == crankfakewatch.Accepted {
 			return j
 		}
